--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 	cargo clippy --locked --all-targets -- -D warnings
 
 # both fronts on the example's configuration; start `make toy` beside it
+# SIGHUP (kill -HUP PID) makes it read examples/config.json anew
 run: build
 	target/release/stilespan serve --config examples/config.json --batch examples/batch.toml
 
--- a/src/batch/front.rs
+++ b/src/batch/front.rs
@@ -9,13 +9,18 @@
 use log::debug;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncSeekExt};
-use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::sync::{Semaphore, mpsc};
 
 use super::jobs::{JobError, Jobs, Order};
 use super::store::{FileInfo, Store, StoreError};
 use crate::net::http::{Body, Framing, Head, HttpError, MAX_BODY, plain};
-use crate::net::listener::{ARRIVING, Next, Peer};
+use crate::net::listener::{Next, Patience, Peer};
+
+/// What a connection's client owes: on a poor link a head or a message takes its time, and a new connection too.
+/// Where sockets run out those that keep others waiting go first all the same.
+pub const OWED: Patience = Patience { idle: Duration::from_secs(15), arriving: Duration::from_secs(10) };
+/// Room for messages that arrive, in KiB.
+const ROOM: usize = 2 << 10;
 
 /// A link that brings nothing of an upload for so long has failed; what came stays.
 const STALLED: Duration = Duration::from_secs(60);
@@ -35,6 +40,7 @@
     endpoints: Vec<String>,
     longest: Duration,
     keys: Mutex<Keys>,
+    room: Arc<Semaphore>,
 }
 
 /// What was created under an idempotency key.
@@ -48,7 +54,8 @@
 impl Front {
     /// A front to these files and batches.
     pub fn new(store: Store, jobs: Jobs, endpoints: Vec<String>, longest: Duration) -> Front {
-        Front { store, jobs, endpoints, longest, keys: Mutex::default() }
+        let room = Arc::new(Semaphore::new(ROOM));
+        Front { store, jobs, endpoints, longest, keys: Mutex::default(), room }
     }
 
     /// Whether a key is new (none), or what it made; the same key for something else is an error.
@@ -187,11 +194,13 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
         416 => "Range Not Satisfiable",
         422 => "Unprocessable Content",
         429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
         507 => "Insufficient Storage",
         _ => "Internal Server Error",
     }
@@ -211,6 +220,9 @@
             Err(e) => return session.turn_down(&e).await,
         };
         let done = session.request(&head, &mut body).await;
+        if body.done() {
+            session.peer.arrived();
+        }
         // an answer ahead of the body's end leaves the rest of it on the connection
         let close = head.closes() || !body.done() || session.peer.ending();
         let written = match done {
@@ -320,8 +332,9 @@
     /// A body of the size of a message.
     async fn small(&mut self, head: &Head, body: &mut Body) -> Result<Bytes, Wrong> {
         self.peer.go_on(head).await?;
-        let whole = body.whole(&mut self.peer.buffer, &mut self.peer.stream, MAX_BODY);
-        Ok(timeout(ARRIVING, whole).await.map_err(|_| HttpError::Ended)??)
+        let (bytes, _room) = self.peer.whole(body, MAX_BODY, &self.front.room).await?;
+        self.peer.arrived();
+        Ok(bytes)
     }
 
     /// `POST /v1/files`: a form with `purpose` and `file`; the file streams to the spool.
@@ -337,12 +350,11 @@
         let (to, mut from) = mpsc::channel::<Result<Bytes, std::io::Error>>(4);
         let stream = futures_util::stream::poll_fn(move |context| from.poll_recv(context));
         let form = read_form(&self.front.store, multer::Multipart::new(stream, boundary));
-        let Peer { stream, buffer, .. } = &mut self.peer;
+        let peer = &mut self.peer;
         // owns the sender, whose drop ends the form's stream
         let fed = async move {
             loop {
-                let next = timeout(STALLED, body.next(buffer, stream)).await;
-                let Some(bytes) = next.map_err(|_| HttpError::Ended)?? else {
+                let Some(bytes) = peer.upload(body, STALLED).await? else {
                     return Ok::<(), HttpError>(());
                 };
                 // a form that has been turned down wants no more of it
@@ -402,9 +414,7 @@
         let mut appender = self.front.store.append(id, at).await?;
         self.peer.go_on(head).await?;
         loop {
-            let Peer { stream, buffer, .. } = &mut self.peer;
-            let next = timeout(STALLED, body.next(buffer, stream)).await;
-            let Some(bytes) = next.map_err(|_| HttpError::Ended)?? else { break };
+            let Some(bytes) = self.peer.upload(body, STALLED).await? else { break };
             appender.write(&bytes).await?;
         }
         let mut info = self.front.store.info(id)?;
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -150,7 +150,8 @@
 
     /// Serves until the program's end, with every line's outcome written.
     pub async fn serve(self) {
-        listener::serve(self.shared, self.listener, listener::handler(self.front, front::run)).await;
+        let handle = listener::handler(self.front, front::run);
+        listener::serve(self.shared, front::OWED, self.listener, handle).await;
         self.jobs.settle().await;
     }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -107,19 +107,31 @@
     std::fs::read_to_string(path).map_err(|e| ConfigError::Unreadable(path.to_path_buf(), e))
 }
 
+fn var(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|v| !v.is_empty())
+}
+
 impl Config {
-    /// Reads the file that `GW_CONFIG` names, or another; single variables go ahead of it.
+    /// The file of the configuration: the one given, or the one that `GW_CONFIG` names.
+    pub fn file(path: Option<PathBuf>) -> Option<PathBuf> {
+        path.or_else(|| var("GW_CONFIG").map(PathBuf::from))
+    }
+
+    /// Reads a file at the start; single variables go ahead of it.
     pub fn load(path: Option<&Path>) -> Result<Config, ConfigError> {
-        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-        let path = path.map(Path::to_path_buf).or_else(|| var("GW_CONFIG").map(PathBuf::from));
         let path = path.ok_or(ConfigError::Missing("GW_CONFIG (or --config)"))?;
-        let mut config = Config::parse(&path, &read(&path)?)?;
+        let mut config = Config::reload(path)?;
         config.name = var("GW_NAME").unwrap_or(config.name);
         config.listen = var("GW_LISTEN").or(config.listen);
         config.discovery = var("GW_DISCOVERY").or(config.discovery);
         Ok(config)
     }
 
+    /// Reads a file while serving. The variables are as old as the program: what the file says now goes ahead.
+    pub fn reload(path: &Path) -> Result<Config, ConfigError> {
+        Config::parse(path, &read(path)?)
+    }
+
     /// A configuration without the platform: the two classes as the service has them, hosts from an inventory.
     pub fn standalone() -> Config {
         let parsed = Config::parse(Path::new("the built-in configuration"), STANDALONE);
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -12,8 +12,8 @@
 
 use super::table::{Open, Out};
 use super::{
-    Answer, Attempt, AttemptId, Connector, Ending, Facts, Handle, Host, Load, MAILBOX, Mail, Order, Resolved,
-    Rpc, Watch,
+    Answer, Attempt, AttemptId, Connector, Ending, Facts, Handle, Host, ListOrder, Load, MAILBOX, Mail,
+    Order, Resolved, Rpc,
 };
 use crate::Balancer;
 use crate::interface::{
@@ -79,7 +79,7 @@
     /// Makes subchannels.
     pub connector: Box<dyn Connector>,
     /// The list's actor.
-    pub resolver: mpsc::Sender<Watch>,
+    pub resolver: mpsc::Sender<ListOrder>,
 }
 
 /// The module's actor.
@@ -90,7 +90,7 @@
     max_attempts: u32,
     max_open: usize,
     connector: Box<dyn Connector>,
-    resolver: mpsc::Sender<Watch>,
+    resolver: mpsc::Sender<ListOrder>,
     mail: mpsc::Receiver<Mail>,
     subchannels: FxHashMap<ReplicaId, Subchannel>,
     rpcs: FxHashMap<RequestId, Open>,
@@ -372,7 +372,7 @@
                 }
             }
             Action::Watch => {
-                let _ = self.resolver.try_send(Watch);
+                let _ = self.resolver.try_send(ListOrder::Watch);
             }
             Action::Timer { at, mark } => self.due.push(Reverse((at, Due::Mark(mark)))),
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -244,9 +244,14 @@
     fn open(&self, replica: ReplicaId, host: &Host) -> mpsc::Sender<Order>;
 }
 
-/// Asks the list's actor for changes from now on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Watch;
+/// Mail for the list's actor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ListOrder {
+    /// The module wants the list's changes from now on.
+    Watch,
+    /// The list is to be had at another address from now on. Opaque here.
+    Move(String),
+}
 
 /// A front's way to the module's actor.
 #[derive(Clone, Debug)]
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -13,7 +13,7 @@
 use saphyr::{LoadableYamlNode, MarkedYaml, Scalar, YamlData};
 use tokio::sync::mpsc;
 
-use crate::core::{Host, Mail, Resolved, Watch};
+use crate::core::{Host, ListOrder, Mail, Resolved};
 use crate::interface::{Entry, ListKind, State, Time};
 use crate::net::resolver::zone;
 use crate::wire::replica_id;
@@ -351,7 +351,7 @@
 pub async fn run(
     path: PathBuf,
     localities: Vec<String>,
-    mut asked: mpsc::Receiver<Watch>,
+    mut asked: mpsc::Receiver<ListOrder>,
     mail: mpsc::Sender<Mail>,
 ) {
     let mut held: Option<Vec<Host>> = None;
@@ -361,7 +361,9 @@
         let wanted = tokio::select! {
             _ = tick.tick() => false,
             asked = asked.recv() => match asked {
-                Some(Watch) => true,
+                Some(ListOrder::Watch) => true,
+                // the hosts come from the file, wherever discovery is
+                Some(ListOrder::Move(_)) => false,
                 None => return,
             },
         };
--- a/src/main.rs
+++ b/src/main.rs
@@ -85,17 +85,18 @@
 /// Reads the files that the command line and the environment name.
 fn plan(config: Option<PathBuf>, batch: Option<PathBuf>, inventory: Option<PathBuf>) -> Result<Plan, String> {
     let batch = batch.map(|path| batch::Options::load(&path)).transpose().map_err(|e| e.to_string())?;
-    let config = match Config::load(config.as_deref()) {
+    let file = Config::file(config);
+    let config = match Config::load(file.as_deref()) {
         // the batch front can run by itself, on an inventory
         Err(ConfigError::Missing(_)) if batch.is_some() => Config::standalone(),
         loaded => loaded.map_err(|e| e.to_string())?,
     };
-    Ok(Plan { config, batch, inventory })
+    Ok(Plan { config, batch, inventory, file })
 }
 
 /// Says what the files hold.
 fn report(plan: &Plan) -> Result<(), String> {
-    let Plan { config, batch, inventory } = plan;
+    let Plan { config, batch, inventory, .. } = plan;
     println!(
         "router {:?}: classes {}; zones {}",
         config.name,
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -1,4 +1,5 @@
-//! One budget of sockets over all peers. Where it runs out, idle channels are closed first; a connection with
+//! The budget of sockets, in two shares: the clients' and the model servers'. Where the clients' share runs out,
+//! connections on which nothing is owed are closed, the one longest without progress first; a connection with
 //! something unanswered on it never is.
 
 use std::collections::BTreeMap;
@@ -6,19 +7,33 @@
 
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
-/// Descriptors that are no connection of a peer's: standard streams, the runtime's own, listeners, files.
+/// Descriptors that are no connection of a client's or a model server's: standard streams, the runtime's own,
+/// listeners, files, and the two connections that discovery may take while its address changes.
 const RESERVE: usize = 32;
 
 #[derive(Default)]
 struct Idle {
     next: u64,
-    /// Peers that wait for a socket.
+    /// Peers that wait for a socket, and connections that were asked to close for them and have not yet.
     waiting: usize,
-    /// Idle connections, the longest idle first, each with the bell that closes it.
+    asked: usize,
+    /// Connections that may be closed, the longest without progress first, each with the bell that closes it.
     bells: BTreeMap<u64, Arc<Notify>>,
 }
 
-/// The budget; copies share it.
+impl Idle {
+    /// Asks the first in line to close, where somebody waits for whom nobody was asked.
+    fn ring(&mut self) {
+        if self.waiting > self.asked
+            && let Some((_, bell)) = self.bells.pop_first()
+        {
+            self.asked += 1;
+            bell.notify_one();
+        }
+    }
+}
+
+/// A share of the budget; copies share it.
 #[derive(Clone)]
 pub struct Budget {
     sockets: Arc<Semaphore>,
@@ -32,55 +47,60 @@
 /// The right to hold one socket.
 pub type Permit = OwnedSemaphorePermit;
 
-/// A connection on the list of idle ones, while this lives.
+/// A connection on the list of those that may be closed, while this lives.
 pub struct IdleMark {
     key: u64,
     bell: Arc<Notify>,
+    closing: bool,
     idle: Arc<Mutex<Idle>>,
 }
 
 impl IdleMark {
-    /// Waits until the connection is asked to close.
-    pub async fn evicted(&self) {
+    /// Waits until the connection is asked to close. Cancel safe.
+    pub async fn evicted(&mut self) {
         self.bell.notified().await;
+        self.closing = true;
     }
 }
 
 impl Drop for IdleMark {
     fn drop(&mut self) {
-        lock(&self.idle).bells.remove(&self.key);
+        let mut idle = lock(&self.idle);
+        if idle.bells.remove(&self.key).is_none() {
+            idle.asked -= 1;
+            // guards against room that was asked of a connection just as a request came in on it, and then of none
+            if !self.closing {
+                idle.ring();
+            }
+        }
     }
 }
 
 impl Budget {
-    /// A budget for a process that may hold so many descriptors.
-    pub fn new(descriptors: usize) -> Budget {
+    /// The clients' and the model servers' share for a process that may hold so many descriptors. Guards against
+    /// clients that leave no socket for the servers: an RPC needs one of each.
+    pub fn shares(descriptors: usize) -> (Budget, Budget) {
         let sockets = descriptors.saturating_sub(RESERVE).max(4);
-        Budget { sockets: Arc::new(Semaphore::new(sockets)), idle: Arc::default() }
+        let share = |n| Budget { sockets: Arc::new(Semaphore::new(n)), idle: Arc::default() };
+        (share(sockets / 2), share(sockets - sockets / 2))
     }
 
-    /// Puts a connection on the list of idle ones.
+    /// Puts a connection on the list of those that may be closed.
     pub fn idle(&self) -> IdleMark {
         let mut idle = lock(&self.idle);
         idle.next += 1;
         let (key, bell) = (idle.next, Arc::new(Notify::new()));
-        // guards against a wait begun while every connection was busy: the first to fall idle makes room
-        if idle.waiting > 0 {
-            bell.notify_one();
-        }
         idle.bells.insert(key, bell.clone());
-        IdleMark { key, bell, idle: self.idle.clone() }
+        // guards against a wait begun while every connection was busy: the first to fall idle makes room
+        idle.ring();
+        IdleMark { key, bell, closing: false, idle: self.idle.clone() }
     }
 
-    /// Waits for the right to a socket, asking idle connections to close while there is none.
+    /// Waits for the right to a socket, asking connections to close while there is none.
     pub async fn take(&self) -> Option<Permit> {
         if let Ok(permit) = self.sockets.clone().try_acquire_owned() {
             return Some(permit);
         }
-        let first = lock(&self.idle).bells.pop_first();
-        if let Some((_, bell)) = first {
-            bell.notify_one();
-        }
         let _waiting = Waiting::new(self);
         self.sockets.clone().acquire_owned().await.ok()
     }
@@ -91,7 +111,10 @@
 
 impl Waiting<'_> {
     fn new(budget: &Budget) -> Waiting<'_> {
-        lock(&budget.idle).waiting += 1;
+        let mut idle = lock(&budget.idle);
+        idle.waiting += 1;
+        idle.ring();
+        drop(idle);
         Waiting(budget)
     }
 }
--- a/src/net/channel.rs
+++ b/src/net/channel.rs
@@ -1,22 +1,67 @@
 //! Channels: the clients' side of the platform's protocol. A thin front: heads and bodies become RPCs, answers
 //! become streams or refusals. It decides nothing.
 
-use std::sync::Arc;
+use std::collections::{HashSet, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 use log::debug;
+use serde::de::IgnoredAny;
 use tokio::sync::{Semaphore, mpsc};
-use tokio::time::timeout;
 
 use super::http::{Body, Framing, Head, HttpError, MAX_BODY, plain};
-use super::listener::{ARRIVING, Next, Peer};
+use super::listener::{Next, Patience, Peer};
 use super::subchannel::payload;
 use crate::core::{Answer, Facts, Handle, Piece, Rpc};
 
 /// The patience of a client that tells none, where its class tells none either.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// What a channel's client owes: the platform's clients have their requests ready when they connect.
+pub const OWED: Patience = Patience { idle: Duration::from_secs(2), arriving: Duration::from_millis(2500) };
+/// The longest patience that is believed; classes' deadlines are far shorter.
+const MAX_PATIENCE: Duration = Duration::from_secs(600);
+/// An `X-Trace-Id` holds so much at most.
+const MAX_TRACE: usize = 128;
+/// Ids of ended requests that are remembered.
+const ENDED: usize = 1024;
+
+/// The `X-Trace-Id`s of open requests and of those ended lately.
+#[derive(Default)]
+pub struct Traces {
+    known: HashSet<Arc<str>>,
+    ended: VecDeque<Arc<str>>,
+}
+
+/// An id held for an open request.
+struct Trace {
+    id: Arc<str>,
+    front: Arc<Front>,
+}
+
+impl Trace {
+    /// Takes an id; none if it is taken. Guards against a client that uses the id of another's open request: the
+    /// two could not be told apart at a model server. Ids are fresh on every request, so one that ended a moment
+    /// ago is no better.
+    fn take(front: &Arc<Front>, id: &str) -> Option<Trace> {
+        let id: Arc<str> = id.into();
+        front.traces().known.insert(id.clone()).then(|| Trace { id, front: front.clone() })
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        let mut traces = self.front.traces();
+        traces.ended.push_back(self.id.clone());
+        if traces.ended.len() > ENDED
+            && let Some(oldest) = traces.ended.pop_front()
+        {
+            traces.known.remove(&oldest);
+        }
+    }
+}
+
 /// What all channels share.
 pub struct Front {
     /// The way to the core.
@@ -29,6 +74,14 @@
     pub deadlines: Vec<Duration>,
     /// The names of the tenants.
     pub tenants: Vec<String>,
+    /// The ids in use.
+    pub traces: Mutex<Traces>,
+}
+
+impl Front {
+    fn traces(&self) -> MutexGuard<'_, Traces> {
+        self.traces.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// An answer to a client.
@@ -51,52 +104,57 @@
     peer: Peer,
 }
 
+/// What a request came to.
+enum Done {
+    /// The channel can be used again.
+    Keep,
+    /// It is over, and may have been closed by the client.
+    Over,
+    /// It was no request: this is its answer, and the channel ends.
+    Bad(Reply),
+}
+
 /// Serves one client's connection to its end.
 pub async fn run(front: Arc<Front>, peer: Peer) {
     let mut channel = Channel { front, peer };
-    loop {
-        let answered = match channel.peer.next().await {
+    let bad = loop {
+        let done = match channel.peer.next().await {
             Next::Request(head, at) => channel.answer(&head, at).await,
             Next::Bad(e) => Err(e),
             Next::Closed => return,
         };
-        match answered {
-            Ok(true) => {}
-            Ok(false) => return,
+        match done {
+            Ok(Done::Keep) => {}
+            Ok(Done::Over) => return,
+            Ok(Done::Bad(reply)) => break reply,
             Err(e) => {
                 // a peer's bytes could not be taken: say so, and close
                 debug!("a client's bytes: {e}");
-                if let Some((status, reason)) = e.status() {
-                    let _ = channel.reply(&Reply::new(status, reason, reason), true).await;
-                    channel.peer.close().await;
-                }
-                return;
+                let Some((status, reason)) = e.status() else { return };
+                break Reply::new(status, reason, reason);
             }
         }
+    };
+    if channel.reply(&bad, true).await.is_ok() {
+        channel.peer.close().await;
     }
 }
 
 impl Channel {
-    /// Answers one request; says whether the channel can be used again.
-    async fn answer(&mut self, head: &Head, at: Instant) -> Result<bool, HttpError> {
+    /// Answers one request. All that its head can tell is looked at ahead of its body: guards against bodies that
+    /// are read, and held, for requests that can't be served.
+    async fn answer(&mut self, head: &Head, at: Instant) -> Result<Done, HttpError> {
         let framing = head.framing(false)?;
         let most = MAX_BODY as u64;
         if matches!(framing, Framing::Length(n) if n > most) {
             return Err(HttpError::BodyTooLarge);
         }
-        // guards against memory: bodies wait for room in the sockets, not here
-        let room = match framing {
-            Framing::Length(n) => n as usize,
-            _ => MAX_BODY,
-        };
-        let bodies = self.front.bodies.clone();
-        let _room = bodies.acquire_many_owned(room.div_ceil(1024) as u32).await.ok();
-        self.peer.go_on(head).await?;
-        let mut body = Body::new(framing);
-        let whole = body.whole(&mut self.peer.buffer, &mut self.peer.stream, MAX_BODY);
-        let body = timeout(ARRIVING, whole).await.map_err(|_| HttpError::Ended)??;
         let close = head.closes();
+        let mut body = Body::new(framing);
+        let bodies = self.front.bodies.clone();
         if head.path() == "/_health" {
+            self.peer.whole(&mut body, MAX_BODY, &bodies).await?;
+            self.peer.arrived();
             // the platform's front sends clients from the first 200 on
             let ready = self.front.core.load().ready() && !self.peer.ending();
             let reply = match ready {
@@ -106,21 +164,31 @@
             return self.reply(&reply, close).await;
         }
         if head.method != "POST" {
-            return self.reply(&Reply::new(404, "Not Found", "no such thing"), close).await;
+            return Ok(Done::Bad(Reply::new(404, "Not Found", "no such thing")));
         }
-        let rpc = match self.rpc(head, body, at) {
-            Ok(rpc) => rpc,
-            Err(reply) => {
-                self.reply(&reply, true).await?;
-                return Ok(false);
-            }
+        let (facts, id) = match self.facts(head, at) {
+            Ok(read) => read,
+            Err(reply) => return Ok(Done::Bad(reply)),
         };
-        let Ok(mut ticket) = self.front.core.submit(rpc).await else { return Ok(false) };
+        let Some(_trace) = Trace::take(&self.front, id) else {
+            return Ok(Done::Bad(Reply::new(409, "Conflict", "X-Trace-Id is in use")));
+        };
+        self.peer.go_on(head).await?;
+        let (body, _room) = self.peer.whole(&mut body, MAX_BODY, &bodies).await?;
+        // guards against a length that cuts a body short, which a model server would take for a request
+        if body.trim_ascii_start().first() != Some(&b'{')
+            || serde_json::from_slice::<IgnoredAny>(&body).is_err()
+        {
+            return Ok(Done::Bad(Reply::new(400, "Bad Request", "the body is no JSON object")));
+        }
+        self.peer.arrived();
+        let rpc = Rpc { facts, payload: payload(&head.method, &head.target, Some(id), body) };
+        let Ok(mut ticket) = self.front.core.submit(rpc).await else { return Ok(Done::Over) };
         let answer = tokio::select! {
             biased;
             answer = ticket.answer() => answer,
             // the ticket's drop tells the module
-            () = self.peer.gone() => return Ok(false),
+            () = self.peer.gone() => return Ok(Done::Over),
         };
         match answer {
             Answer::Started(pieces) => {
@@ -128,7 +196,7 @@
                 if kept.is_some() {
                     ticket.finish();
                 }
-                Ok(kept == Some(true))
+                Ok(if kept == Some(true) { Done::Keep } else { Done::Over })
             }
             Answer::Refused { retry_in, .. } => {
                 ticket.finish();
@@ -142,8 +210,8 @@
         }
     }
 
-    /// The RPC that a request stands for.
-    fn rpc(&self, head: &Head, body: Bytes, at: Instant) -> Result<Rpc, Reply> {
+    /// What a request's head tells, and its id.
+    fn facts<'a>(&self, head: &'a Head, at: Instant) -> Result<(Facts, &'a str), Reply> {
         let bad = |text| Reply::new(400, "Bad Request", text);
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let class = head.get("x-qos").and_then(|name| place(&self.front.classes, name));
@@ -153,11 +221,12 @@
             None => 0,
         };
         let patience = match head.get("x-expires-in-ms") {
-            Some(ms) => Duration::from_millis(ms.parse::<u32>().map_err(|_| bad("X-Expires-In-Ms"))?.into()),
+            Some(ms) => Duration::from_millis(digits(ms).ok_or(bad("X-Expires-In-Ms"))?.into()),
             None => self.front.deadlines.get(class).copied().unwrap_or(PATIENCE),
         };
-        let trace = head.get("x-trace-id");
-        if !trace.is_none_or(plain) || !plain(&head.target) {
+        let id = head.get("x-trace-id").unwrap_or_default();
+        let plain_id = id.len() <= MAX_TRACE && id.bytes().all(|b| b.is_ascii_graphic());
+        if id.is_empty() || !plain_id || !plain(&head.target) {
             return Err(bad("X-Trace-Id"));
         }
         let again = head.get("x-second-try");
@@ -171,7 +240,7 @@
             cap: 0,
             hint: Duration::ZERO,
             received: at,
-            patience,
+            patience: patience.min(MAX_PATIENCE),
             repeat: again == Some("1"),
             resumed: again == Some("again"),
             live: true,
@@ -179,7 +248,7 @@
         for part in head.get("x-props").unwrap_or_default().split(',') {
             let Some((name, value)) = part.split_once('=') else { continue };
             let (name, value) = (name.trim(), value.trim());
-            let number = || value.parse::<u32>().map_err(|_| bad("X-Props"));
+            let number = || digits(value).ok_or(bad("X-Props"));
             match name {
                 "prefix" => facts.prefix = Some(key(value)).filter(|&p| p != 0),
                 "prompt_len" => facts.prompt = number()?,
@@ -188,7 +257,7 @@
                 _ => {}
             }
         }
-        Ok(Rpc { facts, payload: payload(&head.method, &head.target, trace, body) })
+        Ok((facts, id))
     }
 
     /// Passes an answer's pieces on as they come. Whole: whether the channel can be used again. Broken: none,
@@ -236,7 +305,7 @@
         }
     }
 
-    async fn reply(&mut self, reply: &Reply, close: bool) -> Result<bool, HttpError> {
+    async fn reply(&mut self, reply: &Reply, close: bool) -> Result<Done, HttpError> {
         let close = close || self.peer.ending();
         let Reply { status, reason, retry_in, text } = reply;
         let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\n");
@@ -248,10 +317,15 @@
         }
         head.push_str(&format!("Content-Length: {}\r\n\r\n{text}", text.len()));
         self.peer.write(head.as_bytes()).await?;
-        Ok(!close)
+        Ok(if close { Done::Over } else { Done::Keep })
     }
 }
 
+/// A whole number in digits alone.
+fn digits(text: &str) -> Option<u32> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
 /// A key of 16 hex digits; any other text is folded into one.
 fn key(text: &str) -> u64 {
     let hex = (1..=16).contains(&text.len()).then(|| u64::from_str_radix(text, 16).ok()).flatten();
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,8 +1,11 @@
 //! HTTP/1.1 as both sides of the router need it: one growing buffer a connection, heads, and bodies by length,
 //! in chunks or to the connection's end.
 
+use std::time::Duration;
+
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::time::timeout;
 
 /// A body holds so much at most.
 pub const MAX_BODY: usize = 256 << 10;
@@ -12,6 +15,12 @@
 const MAX_LINES: usize = 96;
 /// A chunk's size line, or a trailer, holds so much at most.
 const MAX_SIZE_LINE: usize = 4 << 10;
+/// A chunk of a stream holds so much at most: it is held until it is whole.
+const MAX_CHUNK: u64 = 256 << 10;
+/// Interim answers (1xx) in front of one answer at the most.
+const MAX_INTERIM: usize = 32;
+/// What has begun to come of a server's head or chunk must be whole within this.
+pub const PART: Duration = Duration::from_millis(750);
 /// What a connection's buffer keeps when nothing is in it.
 const KEPT: usize = 8 << 10;
 /// Room made for one read.
@@ -30,6 +39,8 @@
     HeadTooLarge,
     /// The body is over its limit.
     BodyTooLarge,
+    /// A message that had begun was not whole in time.
+    Late,
 }
 
 impl std::fmt::Display for HttpError {
@@ -40,6 +51,7 @@
             HttpError::Malformed(what) => write!(out, "malformed: {what}"),
             HttpError::HeadTooLarge => write!(out, "the head is over {MAX_HEAD} bytes"),
             HttpError::BodyTooLarge => out.write_str("the body is too large"),
+            HttpError::Late => out.write_str("the message was not whole in time"),
         }
     }
 }
@@ -60,6 +72,7 @@
             HttpError::Malformed(_) => Some((400, "Bad Request")),
             HttpError::HeadTooLarge => Some((431, "Request Header Fields Too Large")),
             HttpError::BodyTooLarge => Some((413, "Content Too Large")),
+            HttpError::Late => Some((408, "Request Timeout")),
         }
     }
 }
@@ -223,8 +236,10 @@
     }
 }
 
-/// Takes an answer's head off the buffer, once it is whole; interim answers (1xx) are passed over.
-pub fn answer_head(buffer: &mut Buffer) -> Result<Option<Head>, HttpError> {
+/// Takes an answer's head off the buffer, once it is whole; interim answers (1xx) are passed over and counted.
+/// A header's value that is no UTF-8 is read as far as it goes: guards against a good stream that is given up
+/// for a load report that nobody can read.
+fn answer_head(buffer: &mut Buffer, interim: &mut usize) -> Result<Option<Head>, HttpError> {
     loop {
         let mut room = [httparse::EMPTY_HEADER; MAX_LINES];
         let mut answer = httparse::Response::new(&mut room);
@@ -233,33 +248,59 @@
                 return Err(HttpError::HeadTooLarge);
             }
             httparse::Status::Partial => return Ok(None),
+            httparse::Status::Complete(n) if n > MAX_HEAD => return Err(HttpError::HeadTooLarge),
             httparse::Status::Complete(n) => {
+                let text = |v: &[u8]| String::from_utf8_lossy(v).trim().to_string();
                 let status = answer.code.unwrap_or_default();
                 let head = Head {
                     status,
-                    lines: lines(answer.headers)?,
+                    lines: answer
+                        .headers
+                        .iter()
+                        .map(|h| (h.name.to_ascii_lowercase(), text(h.value)))
+                        .collect(),
                     old: answer.version == Some(0),
                     ..Head::default()
                 };
                 buffer.skip(n);
-                if !(100..200).contains(&status) {
+                // 101 changes the protocol, which nobody asked for
+                if !(100..200).contains(&status) || status == 101 {
                     return Ok(Some(head));
                 }
+                *interim += 1;
+                if *interim > MAX_INTERIM {
+                    return Err(HttpError::Malformed("interim answers without end"));
+                }
             }
         }
     }
 }
 
-/// Reads an answer's head.
+/// Reads an answer's head. Its beginning may be awaited for long; once it is there the rest must follow: guards
+/// against a head that does not end and holds an RPC until its time is up.
 pub async fn read_answer_head(
     buffer: &mut Buffer,
     from: &mut (impl AsyncRead + Unpin),
 ) -> Result<Head, HttpError> {
+    let mut interim = 0;
     loop {
-        if let Some(head) = answer_head(buffer)? {
+        if buffer.is_empty() {
+            buffer.need(from).await?;
+        }
+        let begun = async {
+            while !buffer.is_empty() {
+                if let Some(head) = answer_head(buffer, &mut interim)? {
+                    return Ok::<_, HttpError>(Some(head));
+                }
+                if !buffer.is_empty() {
+                    buffer.need(from).await?;
+                }
+            }
+            Ok(None)
+        };
+        if let Some(head) = timeout(PART, begun).await.map_err(|_| HttpError::Late)?? {
             return Ok(head);
         }
-        buffer.need(from).await?;
     }
 }
 
@@ -279,6 +320,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Body {
     at: At,
+    whole_chunks: bool,
 }
 
 impl Body {
@@ -291,9 +333,21 @@
                 Framing::Chunked => At::Size,
                 Framing::ToEnd => At::ToEnd,
             },
+            whole_chunks: false,
         }
     }
 
+    /// At the start of a stream's body, whose chunks are taken off whole and with a bounded size: guards against
+    /// a spoilt chunk's noise that is passed on as events before its size proves wrong.
+    pub fn stream(framing: Framing) -> Body {
+        Body { whole_chunks: true, ..Body::new(framing) }
+    }
+
+    /// Whether a chunk, or what frames it, has begun to come and is not whole.
+    pub fn midway(&self, buffer: &Buffer) -> bool {
+        !buffer.is_empty() || !matches!(self.at, At::Size | At::Left(_) | At::ToEnd | At::Done)
+    }
+
     /// Whether it was read whole.
     pub fn done(&self) -> bool {
         self.at == At::Done
@@ -307,6 +361,19 @@
                 At::Done => return Ok(None),
                 _ if have == 0 => return Ok(None),
                 At::ToEnd => return Ok(Some(buffer.copy_out(have))),
+                At::Chunk(n) if self.whole_chunks => {
+                    let n = n as usize;
+                    if have < n + 2 {
+                        return Ok(None);
+                    }
+                    if &buffer.bytes()[n..n + 2] != b"\r\n" {
+                        return Err(HttpError::Malformed("a chunk's end"));
+                    }
+                    let bytes = buffer.copy_out(n);
+                    buffer.skip(2);
+                    self.at = At::Size;
+                    return Ok(Some(bytes));
+                }
                 At::Left(n) | At::Chunk(n) => {
                     let part = (have as u64).min(n);
                     self.at = match self.at {
@@ -318,6 +385,9 @@
                     return Ok(Some(buffer.copy_out(part as usize)));
                 }
                 At::Size => match httparse::parse_chunk_size(buffer.bytes()) {
+                    Ok(httparse::Status::Complete((_, size))) if self.whole_chunks && size > MAX_CHUNK => {
+                        return Err(HttpError::Malformed("a chunk's size is over the limit"));
+                    }
                     Ok(httparse::Status::Complete((n, size))) => {
                         buffer.skip(n);
                         self.at = if size == 0 { At::Trailer } else { At::Chunk(size) };
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -4,28 +4,40 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::{Bytes, BytesMut};
 use log::{debug, info, warn};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time::timeout;
 
-use super::budget::{Budget, Permit};
-use super::http::{self, Buffer, Head, HttpError};
+use super::budget::{Budget, IdleMark, Permit};
+use super::http::{self, Body, Buffer, Head, HttpError};
+
+/// How long a front waits for what its clients owe it.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// A connection on which no request begins is closed after this.
+    pub idle: Duration,
+    /// A request must be whole within this of its first byte, a connection's first one of the connection.
+    pub arriving: Duration,
+}
 
-/// A request that has begun to arrive must be whole within this.
-pub const ARRIVING: Duration = Duration::from_secs(10);
 /// A client that takes nothing for so long is given up.
 const STALLED: Duration = Duration::from_secs(20);
 /// After the signal to end, connections are taken for so long: the platform still sends some.
 const LINGER: Duration = Duration::from_millis(600);
 /// A connection without a request is closed so long after that.
 const LAST_CALL: Duration = Duration::from_millis(400);
+/// What a client goes on writing after its last answer is read for so long.
+const DRAIN: Duration = Duration::from_secs(1);
+/// How often a client that has written far ahead is looked at for its end.
+const LOOK: Duration = Duration::from_millis(100);
 
 /// What all listening fronts share.
 #[derive(Clone)]
 pub struct Shared {
-    /// The budget of sockets.
+    /// The clients' share of the budget of sockets.
     pub budget: Budget,
     /// Turns true when the program is to end.
     pub ending: watch::Receiver<bool>,
@@ -38,6 +50,11 @@
     /// Its one buffer.
     pub buffer: Buffer,
     shared: Shared,
+    patience: Patience,
+    /// When it was opened, until its first request has begun.
+    opened: Option<Instant>,
+    /// While a request arrives: the connection may be closed, and when it is late.
+    arriving: Option<(IdleMark, Instant)>,
     _permit: Permit,
 }
 
@@ -57,7 +74,7 @@
 }
 
 /// Takes connections until the program is to end and nothing more comes; returns once all of them are over.
-pub async fn serve<F, Fut>(shared: Shared, listener: TcpListener, handle: F)
+pub async fn serve<F, Fut>(shared: Shared, patience: Patience, listener: TcpListener, handle: F)
 where
     F: Fn(Peer) -> Fut,
     Fut: Future<Output = ()> + Send + 'static,
@@ -78,7 +95,15 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
-                    let peer = Peer { stream, buffer: Buffer::default(), shared: shared.clone(), _permit: permit };
+                    let peer = Peer {
+                        stream,
+                        buffer: Buffer::default(),
+                        shared: shared.clone(),
+                        patience,
+                        opened: Some(Instant::now()),
+                        arriving: None,
+                        _permit: permit,
+                    };
                     let (handled, alive) = (handle(peer), alive.clone());
                     tokio::spawn(async move {
                         handled.await;
@@ -109,40 +134,109 @@
         *self.shared.ending.borrow()
     }
 
-    /// Waits for a request's head. While none has begun the connection is idle, and may be closed.
+    /// Waits for a request's head. While none has begun the connection is idle, and may be closed; while one
+    /// arrives it may be closed too, and is once it is late. Guards against clients that connect in their
+    /// hundreds and say nothing, or never finish.
     pub async fn next(&mut self) -> Next {
         let mut ending = self.shared.ending.clone();
-        let mut at = Instant::now();
+        let mut mark = self.shared.budget.idle();
+        let opened = self.opened.take();
         if self.buffer.is_empty() {
-            let idle = self.shared.budget.idle();
+            let idle = opened.unwrap_or_else(Instant::now) + self.patience.idle;
             let closing = async {
                 turned(&mut ending).await;
                 tokio::time::sleep(LINGER + LAST_CALL).await;
             };
             tokio::select! {
                 biased;
-                read = self.buffer.fill(&mut self.stream) => match read {
-                    Ok(n) if n > 0 => at = Instant::now(),
-                    _ => return Next::Closed,
+                read = self.buffer.fill(&mut self.stream) => if !matches!(read, Ok(n) if n > 0) {
+                    return Next::Closed;
                 },
-                () = idle.evicted() => return Next::Closed,
+                () = mark.evicted() => return Next::Closed,
                 () = closing => return Next::Closed,
+                () = tokio::time::sleep_until(idle.into()) => return Next::Closed,
             }
         }
-        let whole = async {
-            loop {
-                match http::request_head(&mut self.buffer) {
-                    Ok(Some(head)) => return Next::Request(head, at),
-                    Ok(None) => {}
-                    Err(e) => return Next::Bad(e),
-                }
-                match self.buffer.fill(&mut self.stream).await {
-                    Ok(n) if n > 0 => {}
-                    _ => return Next::Closed,
+        let at = Instant::now();
+        self.arriving = Some((mark, opened.unwrap_or(at) + self.patience.arriving));
+        loop {
+            match http::request_head(&mut self.buffer) {
+                Ok(Some(head)) => return Next::Request(head, at),
+                Ok(None) => {}
+                Err(e) => return Next::Bad(e),
+            }
+            match self.more().await {
+                Ok(()) => {}
+                Err(HttpError::Late) => return Next::Bad(HttpError::Late),
+                Err(_) => return Next::Closed,
+            }
+        }
+    }
+
+    /// Reads more of a request that arrives. Cancel safe.
+    async fn more(&mut self) -> Result<(), HttpError> {
+        let Some((mark, until)) = &mut self.arriving else { return Err(HttpError::Ended) };
+        tokio::select! {
+            biased;
+            read = self.buffer.fill(&mut self.stream) => if read? > 0 { Ok(()) } else { Err(HttpError::Ended) },
+            () = mark.evicted() => Err(HttpError::Ended),
+            () = tokio::time::sleep_until((*until).into()) => Err(HttpError::Late),
+        }
+    }
+
+    /// The next bytes of an arriving request's body; none at its end. Cancel safe.
+    async fn part(&mut self, body: &mut Body) -> Result<Option<Bytes>, HttpError> {
+        loop {
+            if let Some(bytes) = body.take(&mut self.buffer)? {
+                return Ok(Some(bytes));
+            }
+            if body.done() {
+                return Ok(None);
+            }
+            self.more().await?;
+        }
+    }
+
+    /// An arriving request's body, up to a limit, with its place in the `room` for bodies (in KiB). Room is taken
+    /// for what has come, not for what was said to come: guards against promises that fill it.
+    pub async fn whole(
+        &mut self,
+        body: &mut Body,
+        most: usize,
+        room: &Arc<Semaphore>,
+    ) -> Result<(Bytes, Option<OwnedSemaphorePermit>), HttpError> {
+        let mut all = BytesMut::new();
+        let mut held: Option<OwnedSemaphorePermit> = None;
+        while let Some(bytes) = self.part(body).await? {
+            if all.len() + bytes.len() > most {
+                return Err(HttpError::BodyTooLarge);
+            }
+            all.extend_from_slice(&bytes);
+            let want = all.len().div_ceil(1024) - held.as_ref().map_or(0, |h| h.num_permits());
+            if want > 0 {
+                let until = self.arriving.as_ref().map_or_else(Instant::now, |a| a.1);
+                let more = room.clone().acquire_many_owned(want as u32);
+                let more = tokio::time::timeout_at(until.into(), more).await;
+                let more = more.map_err(|_| HttpError::Late)?.map_err(|_| HttpError::Ended)?;
+                match &mut held {
+                    Some(held) => held.merge(more),
+                    None => held = Some(more),
                 }
             }
-        };
-        timeout(ARRIVING, whole).await.unwrap_or(Next::Closed)
+        }
+        Ok((all.freeze(), held))
+    }
+
+    /// The next bytes of an upload, which may take as long as it gets on: each part puts it last in the line of
+    /// those that make room, and one that stalls for too long is over. Cancel safe.
+    pub async fn upload(&mut self, body: &mut Body, stall: Duration) -> Result<Option<Bytes>, HttpError> {
+        self.arriving = Some((self.shared.budget.idle(), Instant::now() + stall));
+        self.part(body).await
+    }
+
+    /// The request is here whole: from now on the connection is not closed before its answer.
+    pub fn arrived(&mut self) {
+        self.arriving = None;
     }
 
     /// Writes to a client. Guards against one that stops reading and would hold a server's stream for ever.
@@ -159,29 +253,45 @@
         Ok(())
     }
 
-    /// Waits until the client has gone. What it writes ahead stays in the buffer, up to a head's size.
+    /// Waits until the client has gone. What it writes ahead stays in the buffer, up to a head's size. Cancel safe.
     pub async fn gone(&mut self) {
-        loop {
-            if self.buffer.bytes().len() > http::MAX_HEAD {
-                // a client that writes so far ahead is found to have gone by writing to it
-                return std::future::pending().await;
-            }
+        while self.buffer.bytes().len() <= http::MAX_HEAD {
             if !matches!(self.buffer.fill(&mut self.stream).await, Ok(n) if n > 0) {
                 return;
             }
         }
+        // guards against a client that writes far ahead and goes: its end stands behind what nobody reads yet
+        loop {
+            match self.stream.ready(Interest::READABLE).await {
+                Ok(ready) if !ready.is_read_closed() => tokio::time::sleep(LOOK).await,
+                _ => return,
+            }
+        }
     }
 
-    /// Ends a connection whose peer may still be writing: a reset would take the last answer away from it.
+    /// Ends a connection whose peer may still be writing: a reset would take the last answer away from it. What
+    /// it writes is thrown away for a while, and the connection makes room first where that is needed.
     pub async fn close(mut self) {
-        let _ = self.stream.shutdown().await;
+        let (mut mark, _) =
+            self.arriving.take().unwrap_or_else(|| (self.shared.budget.idle(), Instant::now()));
+        if self.stream.shutdown().await.is_err() {
+            return;
+        }
+        let stream = &self.stream;
         let drain = async {
-            while self.buffer.fill(&mut self.stream).await.is_ok_and(|n| n > 0) {
-                self.buffer.skip(usize::MAX);
+            while stream.readable().await.is_ok() {
+                let mut room = [0; 16 << 10];
+                match stream.try_read(&mut room) {
+                    Ok(n) if n > 0 => {}
+                    Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                    _ => return,
+                }
             }
         };
-        if timeout(Duration::from_millis(200), drain).await.is_err() {
-            debug!("a client went on writing after its last answer");
+        tokio::select! {
+            () = drain => {}
+            () = mark.evicted() => {}
+            () = tokio::time::sleep(DRAIN) => debug!("a client went on writing after its last answer"),
         }
     }
 }
--- a/src/net/resolver.rs
+++ b/src/net/resolver.rs
@@ -2,17 +2,16 @@
 
 use std::time::Duration;
 
-use log::warn;
+use log::{info, warn};
 use serde::Deserialize;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::budget::{Budget, Permit};
 use super::http::Buffer;
 use super::subchannel::read_whole;
-use crate::core::{Host, Mail, Resolved, Watch};
+use crate::core::{Host, ListOrder, Mail, Resolved};
 use crate::interface::{Entry, ListKind, State, Time};
 use crate::wire::replica_id;
 
@@ -108,8 +107,9 @@
 
 struct Resolver {
     options: Options,
-    budget: Budget,
-    connection: Option<(TcpStream, Buffer, Permit)>,
+    /// The next call asks for the whole list.
+    whole: bool,
+    connection: Option<(TcpStream, Buffer)>,
 }
 
 /// Why a call brought no list.
@@ -139,24 +139,44 @@
 }
 
 /// Runs the actor. It calls discovery only while the module has asked for it: after a failed call the module
-/// says when to ask again.
-pub async fn run(
-    options: Options,
-    budget: Budget,
-    mut asked: mpsc::Receiver<Watch>,
-    mail: mpsc::Sender<Mail>,
-) {
-    let mut resolver = Resolver { options, budget, connection: None };
-    while asked.recv().await.is_some() {
+/// says when to ask again. A new address is called at once, and for its whole list: another service's revisions
+/// need not go on from the old one's. A call under way at the old address is given up; its answer, of a service
+/// that is going away, would hold the new list up until its wait has passed.
+pub async fn run(options: Options, mut asked: mpsc::Receiver<ListOrder>, mail: mpsc::Sender<Mail>) {
+    let mut resolver = Resolver { options, whole: false, connection: None };
+    while let Some(order) = asked.recv().await {
+        if let ListOrder::Move(address) = order {
+            resolver.move_to(address);
+        }
         loop {
-            let news = match resolver.call().await {
-                Ok(list) => {
-                    resolver.options.revision = list.revision;
+            let called = {
+                let call = resolver.call();
+                tokio::pin!(call);
+                loop {
+                    tokio::select! {
+                        biased;
+                        order = asked.recv() => match order {
+                            // asked again while watching: the watch answers that as well
+                            Some(ListOrder::Watch) => {}
+                            Some(ListOrder::Move(address)) => break Err(address),
+                            None => return,
+                        },
+                        list = &mut call => break Ok(list),
+                    }
+                }
+            };
+            let news = match called {
+                Err(address) => {
+                    resolver.move_to(address);
+                    continue;
+                }
+                Ok(Ok(list)) => {
+                    (resolver.options.revision, resolver.whole) = (list.revision, false);
                     let kind = if list.complete { ListKind::Complete } else { ListKind::Partial };
                     Some(list.resolved(kind, &resolver.options.localities))
                 }
-                Err(e) => {
-                    warn!("discovery: {e}");
+                Ok(Err(e)) => {
+                    warn!("discovery at {}: {e}", resolver.options.address);
                     resolver.connection = None;
                     None
                 }
@@ -169,33 +189,37 @@
             if failed {
                 break;
             }
-            // asked again while watching: the watch answers that as well
-            while asked.try_recv().is_ok() {}
         }
     }
 }
 
 impl Resolver {
+    fn move_to(&mut self, address: String) {
+        info!("discovery is at {address} now");
+        self.options.address = address;
+        (self.whole, self.connection) = (true, None);
+    }
+
     async fn call(&mut self) -> Result<RawList, Failure> {
         timeout(WAIT + SLACK, self.exchange()).await.unwrap_or(Err(Failure::Late))
     }
 
     async fn exchange(&mut self) -> Result<RawList, Failure> {
-        let (mut stream, mut buffer, permit) = match self.connection.take() {
+        let (mut stream, mut buffer) = match self.connection.take() {
             Some(connection) => connection,
             None => {
-                let permit = self.budget.take().await.ok_or(Failure::Late)?;
                 let dial = TcpStream::connect(self.options.address.as_str());
                 let stream = timeout(SLACK, dial).await.map_err(|_| Failure::Late)??;
                 let _ = stream.set_nodelay(true);
-                (stream, Buffer::default(), permit)
+                (stream, Buffer::default())
             }
         };
         let Options { address, revision, .. } = &self.options;
-        let wait = WAIT.as_millis();
-        let message = format!(
-            "GET /catalog/members?after={revision}&wait_ms={wait} HTTP/1.1\r\nHost: {address}\r\n\r\n"
-        );
+        let query = match self.whole {
+            true => String::new(),
+            false => format!("?after={revision}&wait_ms={}", WAIT.as_millis()),
+        };
+        let message = format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         stream.write_all(message.as_bytes()).await?;
         let (head, body) = read_whole(&mut buffer, &mut stream, MAX_LIST).await?;
         if head.status != 200 {
@@ -203,7 +227,7 @@
         }
         let list = serde_json::from_slice(&body).map_err(Failure::List)?;
         if !head.closes() && buffer.is_empty() {
-            self.connection = Some((stream, buffer, permit));
+            self.connection = Some((stream, buffer));
         }
         Ok(list)
     }
--- a/src/net/subchannel.rs
+++ b/src/net/subchannel.rs
@@ -190,26 +190,22 @@
         head: &Head,
         framing: Framing,
     ) -> Option<(Ending, Option<(mpsc::Sender<Piece>, Piece)>)> {
-        let mut body = Body::new(framing);
+        if framing == Framing::ToEnd {
+            debug!("{}: a stream without framing", self.address);
+            return Some((Outcome::Reset.into(), None));
+        }
+        let mut body = Body::stream(framing);
         let mut tail = BytesMut::new();
         let mut started: Option<mpsc::Sender<Piece>> = None;
         let whole = loop {
             let Connection { stream, buffer, .. } = &mut connection;
-            let next = match &started {
-                None => Ok(body.next(buffer, stream).await),
-                Some(_) => timeout(SILENCE, body.next(buffer, stream)).await,
-            };
-            let bytes = match next {
-                Ok(Ok(Some(bytes))) => bytes,
-                Ok(Ok(None)) => break framing != Framing::ToEnd,
-                Ok(Err(e)) => {
+            let bytes = match next_piece(&mut body, buffer, stream, started.is_some()).await {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) => break true,
+                Err(e) => {
                     debug!("{}: stream broke: {e}", self.address);
                     break false;
                 }
-                Err(_) => {
-                    debug!("{}: stream fell silent", self.address);
-                    break false;
-                }
             };
             tail.extend_from_slice(&bytes);
             if tail.len() > 2 * TAIL {
@@ -318,7 +314,7 @@
     connection: Connection,
     until: Instant,
     wanted: oneshot::Receiver<()>,
-    mark: IdleMark,
+    mut mark: IdleMark,
 ) -> Option<Connection> {
     let quiet = |connection: &Connection| {
         let mut byte = [0];
@@ -339,6 +335,34 @@
     }
 }
 
+/// A stream's next piece; none at its proper end. Guards against a spoilt stream on a connection that stays open:
+/// what has begun must be whole soon, the first piece comes with the head, and none is awaited for ever.
+async fn next_piece(
+    body: &mut Body,
+    buffer: &mut Buffer,
+    stream: &mut TcpStream,
+    started: bool,
+) -> Result<Option<Bytes>, HttpError> {
+    let silent = Instant::now() + if started { SILENCE } else { http::PART };
+    let mut midway = None;
+    loop {
+        if let Some(bytes) = body.take(buffer)? {
+            return Ok(Some(bytes));
+        }
+        if body.done() {
+            return Ok(None);
+        }
+        if body.midway(buffer) {
+            midway = midway.or(Some(Instant::now() + http::PART));
+        }
+        let until = midway.unwrap_or(silent).min(silent);
+        let read = tokio::time::timeout_at(until.into(), buffer.fill(stream)).await;
+        if read.map_err(|_| HttpError::Late)?? == 0 {
+            return Err(HttpError::Ended);
+        }
+    }
+}
+
 /// How much of the prompt was found kept, from a stream's last events.
 fn kept(tail: &[u8]) -> Option<u32> {
     let text = String::from_utf8_lossy(tail);
--- a/src/router.rs
+++ b/src/router.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use log::info;
+use log::{error, info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, mpsc, watch};
@@ -12,8 +12,8 @@
 use crate::batch;
 use crate::batch::store::StoreError;
 use crate::config::{Config, ConfigError};
-use crate::core::Mail;
 use crate::core::actor::{Core, Parts};
+use crate::core::{ListOrder, Mail};
 use crate::interface::ListKind;
 use crate::inventory;
 use crate::net::budget::Budget;
@@ -64,6 +64,8 @@
     pub batch: Option<batch::Options>,
     /// An inventory of hosts, in place of discovery.
     pub inventory: Option<PathBuf>,
+    /// The file that the configuration came from, read anew on SIGHUP.
+    pub file: Option<PathBuf>,
 }
 
 /// Runs a router until SIGTERM, with all that it has taken answered.
@@ -72,6 +74,8 @@
     runtime.map_err(RunError::System)?.block_on(async {
         let mut term = signal(SignalKind::terminate()).map_err(RunError::System)?;
         let mut int = signal(SignalKind::interrupt()).map_err(RunError::System)?;
+        // taken from the start: a SIGHUP that nothing waits for would end the program
+        let mut hangup = signal(SignalKind::hangup()).map_err(RunError::System)?;
         let (end, ending) = watch::channel(false);
         tokio::spawn(async move {
             tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
@@ -79,7 +83,14 @@
             // kept, so that the watches of it stay open
             std::future::pending::<()>().await;
         });
-        open(plan, ending).await?.serve().await;
+        let router = open(plan, ending).await?;
+        let reload = router.reload.clone();
+        tokio::spawn(async move {
+            while hangup.recv().await.is_some() {
+                reload.run().await;
+            }
+        });
+        router.serve().await;
         info!("all answered");
         Ok(())
     })
@@ -90,29 +101,58 @@
     platform: Option<(Arc<Front>, TcpListener)>,
     batch: Option<batch::Ready>,
     shared: Shared,
+    reload: Reload,
+}
+
+/// Brings a configuration's file into force while the router serves.
+#[derive(Clone)]
+struct Reload {
+    file: Option<PathBuf>,
+    /// The list's actor; none where an inventory has the hosts.
+    list: Option<mpsc::Sender<ListOrder>>,
+}
+
+impl Reload {
+    /// Reads the file anew and checks it whole. Guards against a bad file that takes a serving router down: it is
+    /// named in the log and what was in force stays. Work in flight is not touched.
+    async fn run(&self) {
+        let Some(file) = &self.file else {
+            return warn!("SIGHUP: there is no configuration file to read anew");
+        };
+        let config = match Config::reload(file) {
+            Ok(config) => config,
+            Err(e) => return error!("SIGHUP: {e}; what was in force stays"),
+        };
+        let (Some(list), Some(address)) = (&self.list, config.discovery) else {
+            return info!("SIGHUP: {}: nothing in it that can change while serving", file.display());
+        };
+        info!("SIGHUP: {}: discovery at {address}", file.display());
+        let _ = list.send(ListOrder::Move(address)).await;
+    }
 }
 
 /// Opens a router's addresses and starts its actors.
 pub async fn open(plan: Plan, ending: watch::Receiver<bool>) -> Result<Router, RunError> {
-    let Plan { mut config, batch, inventory } = plan;
+    let Plan { mut config, batch, inventory, file } = plan;
     let listener = match &config.listen {
         Some(at) => Some(TcpListener::bind(at).await.map_err(|e| RunError::Listen(at.clone(), e))?),
         None if batch.is_some() => None,
         None => return Err(ConfigError::Missing("GW_LISTEN").into()),
     };
-    let budget = Budget::new(config.sockets);
-    let shared = Shared { budget: budget.clone(), ending };
+    let (clients, servers) = Budget::shares(config.sockets);
+    let shared = Shared { budget: clients, ending };
     let connector = subchannel::Tcp {
         options: subchannel::Options {
             connect_timeout: config.connect_timeout,
             conn_idle: Duration::from_micros(config.settings.conn_idle.0),
             report: config.report.clone(),
         },
-        budget: budget.clone(),
+        budget: servers,
         mail: Arc::new(OnceLock::new()),
     };
     let mail_cell = connector.mail.clone();
     let (asks, asked) = mpsc::channel(4);
+    let mut reload = Reload { file, list: None };
     let inventory = inventory.or_else(|| batch.as_ref().and_then(|b| b.inventory.clone()));
     if inventory.is_some() {
         // a file is watched here: the module learns of its changes without asking
@@ -123,7 +163,7 @@
         seed: config.seed,
         max_open: config.max_open,
         connector: Box::new(connector),
-        resolver: asks,
+        resolver: asks.clone(),
     });
     let _ = mail_cell.set(mail.clone());
     if let Some(path) = inventory {
@@ -137,7 +177,8 @@
         }
         if let Some(address) = config.discovery.clone() {
             let options = resolver::Options { address, revision, localities: config.localities.clone() };
-            tokio::spawn(resolver::run(options, budget, asked, mail));
+            tokio::spawn(resolver::run(options, asked, mail));
+            reload.list = Some(asks);
         }
     }
     let batch = match batch {
@@ -156,12 +197,13 @@
         deadlines: config.settings.classes.iter().map(|c| Duration::from_micros(c.deadline.0)).collect(),
         classes: config.classes,
         tenants: config.tenants,
+        traces: Default::default(),
     };
     // the address that was bound: where the file leaves the port open, nobody else can tell it
     if let Some(at) = listener.as_ref().and_then(|l| l.local_addr().ok()) {
         info!("{}: serving on {at}", config.name);
     }
-    Ok(Router { platform: listener.map(|l| (Arc::new(front), l)), batch, shared })
+    Ok(Router { platform: listener.map(|l| (Arc::new(front), l)), batch, shared, reload })
 }
 
 impl Router {
@@ -176,7 +218,8 @@
         let shared = self.shared;
         let platform = async {
             if let Some((front, listener)) = self.platform {
-                listener::serve(shared, listener, listener::handler(front, channel::run)).await;
+                listener::serve(shared, channel::OWED, listener, listener::handler(front, channel::run))
+                    .await;
             }
         };
         let batch = async {
--- a/tests/batch.rs
+++ b/tests/batch.rs
@@ -94,7 +94,8 @@
 }
 
 async fn with_batch(config: stilespan::config::Config, folder: &Folder) -> Router {
-    start(Plan { config, batch: Some(batch_options(&folder.path("spool"))), inventory: None }).await
+    start(Plan { config, batch: Some(batch_options(&folder.path("spool"))), inventory: None, file: None })
+        .await
 }
 
 #[test]
@@ -301,7 +302,8 @@
     let options = batch_options(&folder.path("spool"));
     let mut config = config(&[], None);
     config.listen = None;
-    let router = start(Plan { config, batch: Some(options), inventory: Some(inventory.clone()) }).await;
+    let router =
+        start(Plan { config, batch: Some(options), inventory: Some(inventory.clone()), file: None }).await;
     let mut client = Client::new(&router.batch).await;
     let file = upload(&mut client, &lines(3)).await;
     let made = create(&mut client, file["id"].as_str().unwrap(), "1h", "").await.json();
@@ -340,7 +342,8 @@
     let options = batch_options(&folder.path("spool"));
     let mut config = config(&[], None);
     config.listen = None;
-    let router = start(Plan { config, batch: Some(options), inventory: Some(inventory.clone()) }).await;
+    let router =
+        start(Plan { config, batch: Some(options), inventory: Some(inventory.clone()), file: None }).await;
     let mut client = Client::new(&router.batch).await;
     let file = upload(&mut client, &lines(5000)).await;
     let made = create(&mut client, file["id"].as_str().unwrap(), "1h", "").await.json();
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -215,7 +215,7 @@
 }
 
 pub async fn route(config: Config) -> Router {
-    start(Plan { config, batch: None, inventory: None }).await
+    start(Plan { config, batch: None, inventory: None, file: None }).await
 }
 
 pub fn batch_options(spool: &Path) -> batch::Options {
@@ -281,12 +281,23 @@
     }
 }
 
+/// An id that no request has had.
+pub fn fresh_id() -> String {
+    static LAST: AtomicUsize = AtomicUsize::new(0x9b1f_03aa);
+    format!("{:016x}", LAST.fetch_add(1, Ordering::SeqCst))
+}
+
 /// A request of the platform's protocol.
 pub fn request(class: &str, expires_ms: u64, more: &str) -> Vec<u8> {
+    request_of(&fresh_id(), class, expires_ms, more)
+}
+
+/// The same, of this id.
+pub fn request_of(id: &str, class: &str, expires_ms: u64, more: &str) -> Vec<u8> {
     let body =
         r#"{"model":"chat","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"why?"}]}"#;
     let head = format!(
-        "POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\n\
+        "POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: service.internal\r\nX-Trace-Id: {id}\r\n\
          X-Qos: {class}\r\nX-Object: 7f3a9c21e0b4d655\r\nX-Expires-In-Ms: {expires_ms}\r\n\
          X-Props: prompt_len=100,max_out=20\r\n{more}Content-Length: {}\r\n\r\n{body}",
         body.len()
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -6,6 +6,7 @@
 use std::io::{BufRead, BufReader, Read};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::Ordering;
 
 use common::peers::*;
 use rstest::rstest;
@@ -70,15 +71,12 @@
     assert!(told(&output).contains("/nowhere/at.json"), "{}", told(&output));
 }
 
-#[tokio::test]
-async fn sigterm_answers_what_was_taken_and_ends_with_0() {
-    let slow = [vec![Step::Sleep(150)], answer("x")].concat();
-    let server = peer(move |_, _, _| slow.clone()).await;
-    let file = Scratch::new("serve", &config_text(&[("s-a", &server.address, "SERVING")], None));
+/// Starts the program on a file and waits until it serves; gives its address and the rest of its log.
+async fn serve(file: &Scratch) -> (Running, String, BufReader<std::process::ChildStderr>) {
     let mut child =
         program().args(["serve", "--config"]).arg(&file.0).stderr(Stdio::piped()).spawn().unwrap();
     let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut child = Running(child);
+    let child = Running(child);
     let (address, log) = tokio::task::spawn_blocking(move || {
         let mut line = String::new();
         while !line.contains("serving on ") {
@@ -89,18 +87,75 @@
     })
     .await
     .unwrap();
-    let mut busy = Client::new(&address).await;
-    busy.send(&request("hint", 1000, "")).await;
-    until("the request is there", || server.requests() == 1).await;
-    let kill = format!("kill -TERM {}", child.0.id());
+    (child, address, log)
+}
+
+fn signal(name: &str, child: &Running) {
+    let kill = format!("kill -{name} {}", child.0.id());
     assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
-    assert!(busy.answer().await.unwrap().whole);
-    let (status, rest) = tokio::task::spawn_blocking(move || {
-        let (mut log, mut rest) = (log, String::new());
+}
+
+/// Ends the program and gives its exit code and the rest of its log.
+async fn end(mut child: Running, mut log: BufReader<std::process::ChildStderr>) -> (Option<i32>, String) {
+    signal("TERM", &child);
+    tokio::task::spawn_blocking(move || {
+        let mut rest = String::new();
         log.read_to_string(&mut rest).unwrap();
-        (child.0.wait().unwrap(), rest)
+        (child.0.wait().unwrap().code(), rest)
     })
     .await
-    .unwrap();
-    assert_eq!(status.code(), Some(0), "{rest}");
+    .unwrap()
+}
+
+#[tokio::test]
+async fn sigterm_answers_what_was_taken_and_ends_with_0() {
+    let slow = [vec![Step::Sleep(150)], answer("x")].concat();
+    let server = peer(move |_, _, _| slow.clone()).await;
+    let file = Scratch::new("serve", &config_text(&[("s-a", &server.address, "SERVING")], None));
+    let (child, address, log) = serve(&file).await;
+    let mut busy = Client::new(&address).await;
+    busy.send(&request("hint", 1000, "")).await;
+    until("the request is there", || server.requests() == 1).await;
+    let ended = tokio::spawn(end(child, log));
+    assert!(busy.answer().await.unwrap().whole);
+    let (status, rest) = ended.await.unwrap();
+    assert_eq!(status, Some(0), "{rest}");
+}
+
+/// SIGHUP under load: a bad file changes nothing, a good one moves the watch to the new address, for the whole list,
+/// though a call is under way at the old one. What is in flight goes on.
+#[tokio::test]
+async fn sighup_moves_the_watch_and_a_bad_file_changes_nothing() {
+    let slow = [vec![Step::Gate, Step::Free], answer("a")].concat();
+    let (a, b) = (peer(move |_, _, _| slow.clone()).await, peer(|_, _, _| answer("b")).await);
+    let old = peer(|_, _, _| vec![Step::Hang]).await;
+    // the new service counts its revisions from the start, and knows one server alone
+    let known = list(1, true, &[("s-b", &b.address, "SERVING")]).to_string();
+    let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{known}", known.len());
+    let new =
+        peer(move |n, _, _| if n == 0 { vec![Step::Write(text.clone())] } else { vec![Step::Hang] }).await;
+    let hosts = [("s-a", a.address.as_str(), "SERVING")];
+    let file = Scratch::new("hup", &config_text(&hosts, Some(&old.address)));
+    let (child, address, log) = serve(&file).await;
+    until("the watch", || old.requests() == 1).await;
+    let mut busy = Client::new(&address).await;
+    busy.send(&request("batch-mark", 10_000, "")).await;
+    until("the request is there", || a.requests() == 1).await;
+    fs::write(&file.0, "{\"discovery\": ").unwrap();
+    signal("HUP", &child);
+    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    assert_eq!((old.dropped.load(Ordering::SeqCst), new.requests()), (0, 0));
+    fs::write(&file.0, config_text(&hosts, Some(&new.address))).unwrap();
+    signal("HUP", &child);
+    until("the new watch", || new.requests() == 2).await;
+    until("the old watch is given up", || old.dropped.load(Ordering::SeqCst) == 1).await;
+    let targets: Vec<_> = new.seen.lock().unwrap().iter().map(|(h, _)| h.target.clone()).collect();
+    assert_eq!(targets[0], "/catalog/members");
+    assert!(targets[1].starts_with("/catalog/members?after=1&wait_ms="), "{targets:?}");
+    assert!(ask(&address, "hint", 1000).await.body.contains("\"b\""));
+    a.gate.add_permits(1);
+    assert!(busy.answer().await.unwrap().body.contains("\"a\""));
+    let (status, rest) = end(child, log).await;
+    assert_eq!(status, Some(0));
+    assert!(rest.contains("SIGHUP: ") && rest.contains("what was in force stays"), "{rest}");
 }
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -9,6 +9,7 @@
 
 use common::peers::*;
 use rstest::rstest;
+use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep, timeout};
 
 #[tokio::test]
@@ -26,7 +27,7 @@
     .await;
     let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
     let mut client = Client::new(&router.platform).await;
-    client.send(&request("hint", 1000, "")).await;
+    client.send(&request_of("9b1f03aa5c7e2d41", "hint", 1000, "")).await;
     // the first event is here while the server still holds the second back
     while !String::from_utf8_lossy(client.buffer.bytes()).contains("{\"a\":  1}") {
         assert!(client.buffer.fill(&mut client.stream).await.unwrap() > 0);
@@ -131,10 +132,13 @@
     assert_eq!((server.requests(), server.connections.load(Ordering::SeqCst)), (3, 1));
 }
 
-const POST: &str = "POST /v1/chat/completions HTTP/1.1\r\nX-Qos: hint\r\n";
+const POST: &str = "POST /v1/chat/completions HTTP/1.1\r\nX-Trace-Id: 7\r\nX-Qos: hint\r\n";
 
 #[rstest]
 #[case::no_http("\u{1}\u{2}garbage\r\n\r\n".into(), 400)]
+#[case::no_id(format!("{}Content-Length: 0\r\n\r\n", POST.replace("X-Trace-Id: 7\r\n", "")), 400)]
+#[case::deadline(String::from_utf8(request("hint", 100, "")).unwrap().replace("Ms: 100", "Ms: soon"), 400)]
+#[case::cut_short(String::from_utf8(request("hint", 1000, "")).unwrap().replace("Length: 9", "Length: 4"), 400)]
 #[case::class(String::from_utf8(request("nobody", 100, "")).unwrap(), 400)]
 #[case::props(format!("{POST}X-Props: prompt_len=many\r\nContent-Length: 0\r\n\r\n"), 400)]
 #[case::negative(format!("{POST}Content-Length: -1\r\n\r\n"), 400)]
@@ -233,7 +237,7 @@
 async fn idle_channels_make_room_and_busy_ones_stay() {
     let server = peer(|_, _, _| [vec![Step::Gate], answer("x")].concat()).await;
     let mut config = config(&[("s-a", &server.address, "SERVING")], None);
-    config.sockets = 40; // eight for peers
+    config.sockets = 40; // four for clients, four for servers
     let router = route(config).await;
     let mut busy = Client::new(&router.platform).await;
     busy.send(&request("batch-mark", 10_000, "")).await;
@@ -276,3 +280,174 @@
     let got = slow.answer().await.unwrap();
     assert_eq!((got.whole, got.body.len()), (true, 400 * 60_000));
 }
+
+/// Clients that say nothing, or never finish, in numbers: each is answered or closed in time, and none of them
+/// keeps a request out.
+#[rstest]
+#[case::silent("")]
+#[case::half("POST /v1/chat/completions HTTP/1.1\r\nX-Qos: hint\r\n")]
+#[case::half_a_body(
+    "POST /v1/chat/completions HTTP/1.1\r\nX-Qos: hint\r\nX-Trace-Id: ID\r\nContent-Length: 99\r\n\r\n{"
+)]
+#[tokio::test]
+async fn clients_that_never_finish_are_closed_in_time_and_keep_nobody_out(#[case] text: &str) {
+    let server = peer(|_, _, _| answer("x")).await;
+    let mut config = config(&[("s-a", &server.address, "SERVING")], None);
+    config.sockets = 64; // sixteen for clients
+    let router = route(config).await;
+    let mut bad = Vec::new();
+    for _ in 0..60 {
+        let mut client = Client::new(&router.platform).await;
+        // one that has been closed by now can't be written to
+        let _ = client.stream.write_all(text.replace("ID", &fresh_id()).as_bytes()).await;
+        bad.push(client);
+    }
+    assert_eq!(ask(&router.platform, "hint", 1000).await.head.status, 200);
+    let all = async {
+        for client in &mut bad {
+            assert!(client.answer().await.is_none_or(|got| got.head.status == 408));
+        }
+    };
+    timeout(Duration::from_secs(8), all).await.expect("all closed");
+}
+
+/// The servers' share of sockets is not the clients' to take, and idle ones make room one by one.
+#[tokio::test]
+async fn busy_clients_leave_sockets_for_the_servers() {
+    let server = peer(|_, _, _| {
+        let begun = Step::Write(format!("{STREAM}{}", chunk(&event("x"))));
+        vec![begun, Step::Gate, Step::Free, Step::Write(LAST.into())]
+    })
+    .await;
+    let mut config = config(&[("s-a", &server.address, "SERVING")], None);
+    config.sockets = 40; // four for clients, four for servers
+    let router = route(config).await;
+    let mut busy = Vec::new();
+    for n in 1..=4 {
+        let mut client = Client::new(&router.platform).await;
+        client.send(&request("batch-mark", 10_000, "")).await;
+        until("the request is there", || server.requests() == n).await;
+        busy.push(client);
+    }
+    server.gate.add_permits(1);
+    for client in &mut busy {
+        assert_eq!(client.answer().await.unwrap().head.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn the_id_of_an_open_request_is_not_sent_twice() {
+    let server = peer(|_, _, _| [vec![Step::Gate], answer("x")].concat()).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut first = Client::new(&router.platform).await;
+    first.send(&request_of("7f", "batch-mark", 10_000, "")).await;
+    until("the request is there", || server.requests() == 1).await;
+    let twice = request_of("7f", "hint", 1000, "");
+    assert_eq!(Client::new(&router.platform).await.call(&twice).await.head.status, 409);
+    server.gate.add_permits(1);
+    assert_eq!(first.answer().await.unwrap().head.status, 200);
+    assert_eq!(server.requests(), 1);
+}
+
+/// A sender of far more than is taken gets to read why, however long it goes on.
+#[tokio::test]
+async fn a_client_that_sends_on_after_its_answer_can_read_it() {
+    let router = route(config(&[], None)).await;
+    let client = Client::new(&router.platform).await;
+    let (mut read, mut write) = client.stream.into_split();
+    let sender = tokio::spawn(async move {
+        let head = "POST /v1/chat/completions HTTP/1.1\r\nX-Qos: hint\r\nContent-Length: 16000000\r\n\r\n";
+        let _ = write.write_all(head.as_bytes()).await;
+        let part = vec![b'a'; 100_000];
+        for _ in 0..160 {
+            if write.write_all(&part).await.is_err() {
+                return false;
+            }
+            sleep(Duration::from_millis(2)).await;
+        }
+        true
+    });
+    assert!(sender.await.unwrap(), "the connection broke under the sender");
+    let mut text = String::new();
+    tokio::io::AsyncReadExt::read_to_string(&mut read, &mut text).await.unwrap();
+    assert!(text.starts_with("HTTP/1.1 413 "), "{text}");
+}
+
+/// A client that writes ahead more than is read, and goes, takes its attempt along all the same.
+#[tokio::test]
+async fn a_client_that_wrote_far_ahead_is_seen_to_go() {
+    let server = peer(|_, _, _| vec![Step::Hang]).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut client = Client::new(&router.platform).await;
+    client.send(&request("batch-mark", 10_000, "")).await;
+    until("the request is there", || server.requests() == 1).await;
+    client.send(&vec![b'a'; 100_000]).await;
+    sleep(Duration::from_millis(50)).await;
+    drop(client);
+    until("the attempt is called off", || server.dropped.load(Ordering::SeqCst) == 1).await;
+}
+
+/// What a server sends in place of a stream's opening: nothing of it is passed on, and the RPC goes on elsewhere.
+#[rstest]
+#[case::noise("\u{1}\u{2}noise\r\n\r\n".into())]
+#[case::endless_head(format!("HTTP/1.1 200 OK\r\n{}", "X-More: and more\r\n".repeat(50)))]
+#[case::endless_interim("HTTP/1.1 102 Processing\r\n\r\n".repeat(100))]
+#[case::no_framing("HTTP/1.1 200 OK\r\n\r\nnoise".into())]
+#[case::no_size(format!("{STREAM}zz\r\nnoise\r\n"))]
+#[case::too_small(format!("{STREAM}3\r\nnoise\r\n"))]
+#[case::too_large(format!("{STREAM}7f\r\nnoise\r\n"))]
+#[case::huge(format!("{STREAM}c0000000\r\n{}", "noise".repeat(1000)))]
+#[tokio::test]
+async fn a_spoilt_opening_is_a_failed_attempt(#[case] spoilt: String) {
+    let server = peer(
+        move |n, _, _| {
+            if n == 0 { vec![Step::Write(spoilt.clone()), Step::Hang] } else { answer("second") }
+        },
+    )
+    .await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let got = ask(&router.platform, "batch-mark", 10_000).await;
+    assert_eq!((got.head.status, got.whole), (200, true));
+    assert!(got.body.starts_with(&event("second")), "{}", got.body);
+    // the spoilt connection was given up, not used again
+    assert_eq!((server.requests(), server.connections.load(Ordering::SeqCst)), (2, 2));
+}
+
+/// The same later: the client's connection ends soon, without the last chunk and without the noise.
+#[rstest]
+#[case::no_size("zz\r\nnoise\r\n")]
+#[case::too_large("7f\r\nnoise\r\n")]
+#[case::huge("c0000000\r\nnoise")]
+#[tokio::test]
+async fn a_chunk_spoilt_later_ends_the_stream(#[case] spoilt: &str) {
+    let text = format!("{STREAM}{}{spoilt}", chunk(&event("half")));
+    let server = peer(move |_, _, _| vec![Step::Write(text.clone()), Step::Hang]).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let start = Instant::now();
+    let got = ask(&router.platform, "hint", 1000).await;
+    assert_eq!((got.whole, got.body), (false, event("half")));
+    assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
+}
+
+/// A good stream that brings more than belongs to it is served, and its connection not used again.
+#[rstest]
+#[case::interim("HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n", "", 1)]
+#[case::second_answer("", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", 2)]
+#[tokio::test]
+async fn a_good_stream_with_more_than_belongs_to_it_is_served(
+    #[case] before: &'static str,
+    #[case] behind: &'static str,
+    #[case] connections: usize,
+) {
+    let server = peer(move |_, _, _| {
+        vec![Step::Write(format!("{before}{STREAM}{}{LAST}{behind}", chunk(&event("x"))))]
+    })
+    .await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    for _ in 0..2 {
+        let got = ask(&router.platform, "hint", 1000).await;
+        assert_eq!((got.head.status, got.whole, got.body), (200, true, event("x")));
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(server.connections.load(Ordering::SeqCst), connections);
+}
