--- a/src/policy.rs
+++ b/src/policy.rs
@@ -954,8 +954,8 @@
         if failed {
             // each failure in a row doubles the wait, from what it cost or the delay of one ordinary request
             replica.failures = (replica.failures + 1).min(6);
-            // guards against a replica left out for as long as a stream had run that came back spoilt: only time
-            // spent waiting for a first token tells of the replica
+            // guards against a replica left out for as long as a stream had run that came back spoilt: only
+            // time spent waiting for a first token tells of the replica
             let waited = if outcome == Outcome::Timeout { took.secs() } else { 0.0 };
             let wait = self.prior.at(self.tokens).max(waited) * f64::from(1 << replica.failures);
             let at = (self.now + Dur::from_secs(wait)).max(replica.maturity);
