Crossing zones weighs four times its price; no request is taken late after SIGTERM

The price is paid on every send, while time within the aim costs nothing; 4 is taken. At fault for the restart: listener.rs gave each connection a second from when it saw the end itself, so one opened 0.5 s after SIGTERM could send until 1.5 s. Now all connections whose request isn't whole close 0.6 s after the signal. Also: the front took a permit ahead of a connection, and so closed one to make room for nobody; now it accepts first.

--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -124,3 +124,27 @@
         lock(&self.0.idle).waiting -= 1;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use tokio::time::timeout;
+
+    use super::*;
+
+    #[tokio::test]
+    async fn a_bell_that_came_with_a_request_is_passed_on() {
+        let (clients, _) = Budget::shares(RESERVE + 4);
+        let held = [clients.take().await, clients.take().await];
+        let (first, mut second) = (clients.idle(), clients.idle());
+        let waiting = clients.clone();
+        let wait = tokio::spawn(async move { waiting.take().await });
+        tokio::task::yield_now().await;
+        // a request came in on the first just as it was asked to close: the second makes room
+        drop(first);
+        timeout(Duration::from_secs(5), second.evicted()).await.expect("rung");
+        drop((held, second));
+        assert!(wait.await.is_ok_and(|permit| permit.is_some()));
+    }
+}
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -1,7 +1,7 @@
 //! What every listening front needs: connections taken within the budget until the program's end, and a peer's
 //! side of one of them.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -26,9 +26,10 @@
 /// A client that takes nothing for so long is given up.
 const STALLED: Duration = Duration::from_secs(20);
 /// After the signal to end, connections are taken for so long: the platform still sends some.
-const LINGER: Duration = Duration::from_millis(600);
-/// A connection without a request is closed so long after that.
-const LAST_CALL: Duration = Duration::from_millis(400);
+const LINGER: Duration = Duration::from_millis(450);
+/// A connection whose request isn't here whole by then is closed. Guards against a request that comes so late
+/// that there is no time left to answer it before the platform ends the program.
+const LAST_CALL: Duration = Duration::from_millis(600);
 /// What a client goes on writing after its last answer is read for so long.
 const DRAIN: Duration = Duration::from_secs(1);
 /// How often a client that has written far ahead is looked at for its end.
@@ -41,6 +42,17 @@
     pub budget: Budget,
     /// Turns true when the program is to end.
     pub ending: watch::Receiver<bool>,
+    /// When that was seen first.
+    pub since: Arc<OnceLock<Instant>>,
+}
+
+impl Shared {
+    /// Waits for the signal to end and then until so long after it, the same instant for every connection.
+    async fn after_end(&mut self, long: Duration) {
+        turned(&mut self.ending).await;
+        let since = *self.since.get_or_init(Instant::now);
+        tokio::time::sleep_until((since + long).into()).await;
+    }
 }
 
 /// A client's connection.
@@ -85,22 +97,29 @@
     let mut last: Option<Instant> = None;
     loop {
         let until = last.unwrap_or_else(|| Instant::now() + Duration::from_secs(3600));
-        let permit = tokio::select! {
-            permit = shared.budget.take() => permit,
-            () = tokio::time::sleep_until(until.into()), if last.is_some() => break,
-        };
-        let Some(permit) = permit else { break };
         tokio::select! {
             biased;
+            () = turned(&mut ending), if last.is_none() => {
+                info!("ending: taking connections for a little longer");
+                last = Some(*shared.since.get_or_init(Instant::now) + LINGER);
+            }
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
+                    let opened = Some(Instant::now());
+                    // taken only now: guards against a connection that is closed to make room for nobody
+                    let mut late = shared.clone();
+                    let permit = tokio::select! {
+                        permit = shared.budget.take() => permit,
+                        () = late.after_end(LINGER) => None,
+                    };
+                    let Some(permit) = permit else { break };
                     let peer = Peer {
                         stream,
                         buffer: Buffer::default(),
                         shared: shared.clone(),
                         patience,
-                        opened: Some(Instant::now()),
+                        opened,
                         arriving: None,
                         _permit: permit,
                     };
@@ -118,10 +137,6 @@
             },
             // what the platform has sent in the meantime is taken first: this branch comes last
             () = tokio::time::sleep_until(until.into()), if last.is_some() => break,
-            () = turned(&mut ending), if last.is_none() => {
-                info!("ending: taking connections for a little longer");
-                last = Some(Instant::now() + LINGER);
-            }
         }
     }
     drop((listener, alive));
@@ -138,22 +153,18 @@
     /// arrives it may be closed too, and is once it is late. Guards against clients that connect in their
     /// hundreds and say nothing, or never finish.
     pub async fn next(&mut self) -> Next {
-        let mut ending = self.shared.ending.clone();
+        let mut shared = self.shared.clone();
         let mut mark = self.shared.budget.idle();
         let opened = self.opened.take();
         if self.buffer.is_empty() {
             let idle = opened.unwrap_or_else(Instant::now) + self.patience.idle;
-            let closing = async {
-                turned(&mut ending).await;
-                tokio::time::sleep(LINGER + LAST_CALL).await;
-            };
             tokio::select! {
                 biased;
                 read = self.buffer.fill(&mut self.stream) => if !matches!(read, Ok(n) if n > 0) {
                     return Next::Closed;
                 },
                 () = mark.evicted() => return Next::Closed,
-                () = closing => return Next::Closed,
+                () = shared.after_end(LAST_CALL) => return Next::Closed,
                 () = tokio::time::sleep_until(idle.into()) => return Next::Closed,
             }
         }
@@ -175,12 +186,14 @@
 
     /// Reads more of a request that arrives. Cancel safe.
     async fn more(&mut self) -> Result<(), HttpError> {
+        let mut shared = self.shared.clone();
         let Some((mark, until)) = &mut self.arriving else { return Err(HttpError::Ended) };
         tokio::select! {
             biased;
             read = self.buffer.fill(&mut self.stream) => if read? > 0 { Ok(()) } else { Err(HttpError::Ended) },
             () = mark.evicted() => Err(HttpError::Ended),
             () = tokio::time::sleep_until((*until).into()) => Err(HttpError::Late),
+            () = shared.after_end(LAST_CALL) => Err(HttpError::Late),
         }
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,6 +32,8 @@
 const PRIOR: f64 = 4.0;
 /// Price of a send that fails, as a part of the aim: it is sent again elsewhere, later.
 const FAILING: f64 = 0.3;
+/// Weight of the price of crossing zones: it is paid on every send, while time within the aim costs nothing.
+const CROSSING: f64 = 4.0;
 /// Held requests looked at in one release, and mature replicas compared for one request.
 const SCAN: usize = 32;
 const COMPARE: usize = 8;
@@ -783,7 +785,8 @@
             }
             let aim = self.set.classes[arrival.class as usize].aim.secs();
             // prices count as parts of the aim: of crossing zones, of a connection where none is idle
-            let price = if replica.entry.zone != self.set.zone { self.set.cross_price } else { 0.0 };
+            let away = replica.entry.zone != self.set.zone;
+            let price = if away { CROSSING * self.set.cross_price } else { 0.0 };
             let idle = replica.idle.back().is_some_and(|&t| self.now - t < self.set.conn_idle);
             let price = aim * (price + if idle { 0.0 } else { self.set.handshake_price });
             let wait = (replica.maturity - self.now).secs();
--- a/src/router.rs
+++ b/src/router.rs
@@ -140,7 +140,7 @@
         None => return Err(ConfigError::Missing("GW_LISTEN").into()),
     };
     let (clients, servers) = Budget::shares(config.sockets);
-    let shared = Shared { budget: clients, ending };
+    let shared = Shared { budget: clients, ending, since: Default::default() };
     let connector = subchannel::Tcp {
         options: subchannel::Options {
             connect_timeout: config.connect_timeout,
--- a/tests/batch.rs
+++ b/tests/batch.rs
@@ -259,6 +259,31 @@
     assert_eq!(batch["request_counts"], json!({"total": 40, "completed": 40, "failed": 0}));
 }
 
+/// What hardens the fronts against clients that say nothing must not cost an upload that gets on, however slowly.
+#[tokio::test]
+async fn an_upload_on_a_slow_link_gets_on_beside_clients_that_say_nothing() {
+    let folder = Folder::new();
+    let mut config = config(&[], None);
+    config.sockets = 40; // four for clients
+    let router = with_batch(config, &folder).await;
+    let text = lines(40);
+    let mut client = Client::new(&router.batch).await;
+    let length = format!("Upload-Length: {}\r\n", text.len());
+    let made = call(&mut client, "POST", "/v1/uploads?filename=set.jsonl", &length, "").await;
+    let at = made.head.get("location").unwrap().to_string();
+    let head = format!("PATCH {at} HTTP/1.1\r\nUpload-Offset: 0\r\nContent-Length: {}\r\n\r\n", text.len());
+    client.send(head.as_bytes()).await;
+    let mut silent = Vec::new();
+    for part in text.as_bytes().chunks(text.len().div_ceil(10)) {
+        client.send(part).await;
+        sleep(Duration::from_millis(50)).await;
+        for _ in 0..3 {
+            silent.push(Client::new(&router.batch).await);
+        }
+    }
+    assert_eq!(client.answer().await.unwrap().head.status, 204);
+}
+
 #[rstest]
 #[case::cancelled("1h", "cancelled", "batch_cancelled")]
 #[case::expired("1s", "expired", "batch_expired")]
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,59 @@
+//! Stories of the core with a scripted connector: no wire, no socket.
+
+use std::sync::{Arc, Mutex};
+
+use rstest::rstest;
+use stilespan::core::actor::{Core, Parts};
+use stilespan::core::{Connector, Host, Mail, Order, Resolved};
+use stilespan::interface::{Entry, ListKind, ReplicaId, Settings, Time};
+use tokio::sync::mpsc;
+use tokio::time::{Duration, timeout};
+
+type Opened = Arc<Mutex<Vec<(ReplicaId, mpsc::Receiver<Order>)>>>;
+
+/// Keeps the mailboxes of the subchannels that it was asked for.
+struct Scripted(Opened);
+
+impl Connector for Scripted {
+    fn open(&self, replica: ReplicaId, _: &Host) -> mpsc::Sender<Order> {
+        let (to, orders) = mpsc::channel(8);
+        self.0.lock().unwrap().push((replica, orders));
+        to
+    }
+}
+
+fn host(id: u64, address: &str, started: u64) -> Host {
+    let entry = Entry { replica: ReplicaId(id), started: Time(started), rating: 1.0, ..Entry::default() };
+    Host { name: format!("s-{id}"), address: address.into(), entry }
+}
+
+/// A host that went unnoticed, and a new one in its place: what is meant for the old one must not meet the new one,
+/// which has just started. An old entry that is told again doesn't turn the new one out.
+#[rstest]
+#[case::another_address("127.0.0.1:2", 7, [false, false])]
+#[case::the_newer_stays("127.0.0.1:1", 7, [true, false])]
+#[tokio::test]
+async fn a_host_in_the_place_of_one_that_has_gone_ends_its_subchannel(
+    #[case] address: &str,
+    #[case] started: u64,
+    #[case] ended: [bool; 2],
+) {
+    let opened = Opened::default();
+    let (resolver, _asked) = mpsc::channel(4);
+    let connector = Box::new(Scripted(opened.clone()));
+    let parts = Parts { settings: Settings::default(), seed: 1, max_open: 10, connector, resolver };
+    let (_handle, mail) = Core::start(parts);
+    for (kind, host) in
+        [(ListKind::Persisted, host(1, "127.0.0.1:1", 0)), (ListKind::Partial, host(2, address, started))]
+    {
+        mail.send(Mail::Resolved(Resolved { kind, hosts: vec![host] })).await.unwrap();
+    }
+    while opened.lock().unwrap().len() < 2 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut opened = std::mem::take(&mut *opened.lock().unwrap());
+    for ((replica, orders), ended) in opened.iter_mut().zip(ended) {
+        let over = timeout(Duration::from_millis(100), orders.recv()).await;
+        assert_eq!(over.is_ok_and(|order| order.is_none()), ended, "{replica:?}");
+    }
+}
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -174,6 +174,23 @@
     timeout(Duration::from_secs(10), router.done).await.expect("ends").unwrap();
 }
 
+/// A request that comes long after the signal to end could not be answered before the platform ends the program:
+/// no connection is open to it by then, whenever it was opened.
+#[tokio::test]
+async fn at_the_end_no_connection_takes_a_late_request() {
+    let server = peer(|_, _, _| answer("x")).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let start = Instant::now();
+    router.end.send(true).unwrap();
+    let (mut early, mut half) = (Client::new(&router.platform).await, Client::new(&router.platform).await);
+    half.send(&request("hint", 1000, "")[..40]).await;
+    sleep(Duration::from_millis(200)).await;
+    let mut late = Client::new(&router.platform).await;
+    assert!(early.answer().await.is_none() && late.answer().await.is_none());
+    assert!(half.answer().await.is_none_or(|got| got.head.status == 408));
+    assert!(start.elapsed() < Duration::from_millis(1100), "{:?}", start.elapsed());
+}
+
 #[tokio::test]
 async fn a_router_is_ready_once_it_has_a_list_and_until_its_end() {
     let health = b"GET /_health HTTP/1.1\r\n\r\n";
