Cold servers get a drawn part of every attempt, so a hundred routers use them

Ruled out: lists come in time (watches answer within a second outside the overbooked stretch), no server refused a connection, no rule or crash. Cause: policy.rs cold_allows. With no warm server each gateway sent one at a time, a hundred at once. Change: each attempt draws one server evenly; if it is cold, it is taken for the part that its capacity allows (COLD_MARGIN x fall_multiple x present capacity x size), and the attempt goes there if that is in time.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -78,6 +78,7 @@
     expires: Time,
     owed: bool,
     attempts: Vec<Attempt>,
+    turn: Option<usize>,
 }
 
 impl Request {
@@ -115,14 +116,17 @@
     failures: u32,
     failing: f64,
     used: f64,
-    cold_credit: f64,
-    cold_at: Time,
 }
 
 impl Replica {
     fn usable(&self) -> bool {
         self.listed && self.entry.state == State::InService
     }
+
+    /// Its size beside the others', as the list has it.
+    fn size(&self) -> f64 {
+        if self.entry.rating > 0.0 { self.entry.rating } else { 1.0 }
+    }
 }
 
 /// What is let in. Under overload some must be turned away, early and the least worth first: `part` of the
@@ -247,8 +251,8 @@
     reach: f64,
     steps: Steps,
     admission: Admission,
-    warm_sends: f64,
-    warm_at: Time,
+    size: f64,
+    all_warm: Time,
     ask_at: Option<Time>,
     ask_failures: u32,
     timer: Option<Time>,
@@ -294,8 +298,8 @@
             reach: 1.0,
             steps: Steps::default(),
             admission,
-            warm_sends: 0.0,
-            warm_at: now,
+            size: 1.0,
+            all_warm: now,
             ask_at,
             ask_failures: 0,
             timer: None,
@@ -366,6 +370,10 @@
             }
         }
         self.ring.sort_unstable();
+        let sizes = self.ring.iter().map(|p| self.replicas[p.1].size()).sum::<f64>();
+        self.size = sizes / self.ring.len().max(1) as f64;
+        let started = self.ring.iter().map(|p| self.replicas[p.1].entry.started).filter(|t| t.0 > 0).max();
+        self.all_warm = started.map_or(self.now, |t| t + self.set.warm_after);
         // guards against waiting for a model that has left the list: another may still be in time
         let held: Vec<RequestId> = self.queue.iter().map(|q| q.1).collect();
         for id in held {
@@ -400,9 +408,6 @@
             line: (self.prior, self.now),
             maturity: self.now + Dur(sum / n.max(1)),
             streams: vec![0; self.set.classes.len()],
-            // a share under one request is spread in time: the first turn comes at a random phase
-            cold_credit: -self.rng.random::<f64>(),
-            cold_at: self.now,
             ..Replica::default()
         };
         if k == self.replicas.len() {
@@ -460,45 +465,32 @@
         }
     }
 
-    /// Sends a second to each warm replica, of late.
-    fn warm_rate(&mut self, add: f64) -> f64 {
-        let span = self.set.warm_after.secs().max(1.0) / 2.0;
-        self.warm_sends = self.warm_sends * (-(self.now - self.warm_at).secs() / span).exp() + add;
-        self.warm_at = self.now;
-        self.warm_sends / span / self.mature.len().saturating_add(self.later.len()).max(1) as f64
-    }
-
     fn cold(&self, k: usize) -> bool {
         let started = self.replicas[k].entry.started;
         started.0 > 0 && self.now - started < self.set.warm_after
     }
 
-    /// Whether some warm replica has a model.
-    fn warm(&self, model: u32) -> bool {
-        let has =
-            |k: usize| self.replicas[k].usable() && self.replicas[k].entry.models.ready_in(model).is_some();
-        (0..self.replicas.len()).any(|k| has(k) && !self.cold(k))
-    }
-
-    /// Whether a cold replica may take a request: this gateway's part of what all may send it together.
-    fn cold_allows(&mut self, k: usize, tokens: f64, model: u32) -> bool {
+    /// Present capacity as a part of the whole.
+    fn capacity(&self, k: usize) -> f64 {
         if !self.cold(k) {
-            return true;
+            return 1.0;
         }
-        // guards against a fleet that all comes back cold and is sent nothing: one at a time is no push
-        if self.replicas[k].in_flight == 0 && !self.warm(model) {
-            return true;
+        let age = (self.now - self.replicas[k].entry.started).secs() / self.set.warm_after.secs().max(1e-3);
+        self.set.start_capacity + (1.0 - self.set.start_capacity) * age
+    }
+
+    /// The cold replica that a call attempt may go to, drawn anew for each: every replica is as likely as any,
+    /// and a cold one is taken for the part of its turns that its capacity allows. So all gateways together
+    /// send it that part of what a warm one is due, however little each of them sees. Nothing is saved up:
+    /// guards against many gateways that each have a turn left and take it at once.
+    fn turn(&mut self) -> Option<usize> {
+        if self.now >= self.all_warm {
+            return None;
         }
-        let rate = self.warm_rate(0.0);
-        let replica = &mut self.replicas[k];
-        let age = (self.now - replica.entry.started).secs() / self.set.warm_after.secs().max(1e-3);
-        let capacity = self.set.start_capacity + (1.0 - self.set.start_capacity) * age;
-        let share = COLD_MARGIN * self.set.fall_multiple * capacity * rate;
-        let most = (share * self.set.fall.secs()).max(1.0);
-        let credit = replica.cold_credit + share * (self.now - replica.cold_at).secs();
-        replica.cold_credit = credit.min(most);
-        replica.cold_at = self.now;
-        replica.cold_credit >= (tokens / self.tokens.max(1.0)).clamp(1.0, most)
+        let k = self.ring.get(self.rng.random_range(0..self.ring.len().max(1)))?.1;
+        let size = self.replicas[k].size() / self.size;
+        let part = COLD_MARGIN * self.set.fall_multiple * self.capacity(k) * size;
+        (self.cold(k) && self.rng.random::<f64>() < part).then_some(k)
     }
 
     fn arrive(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
@@ -515,7 +507,8 @@
         let work = 1.0 + self.unread(&arrival, place) / self.tokens.max(1.0);
         let worth = if arrival.repeat { REPEAT } else { 1.0 } * c.worth;
         let worth = worth * self.admission.share_worth(&self.set, arrival.tenant as usize, self.now);
-        let request = Request { arrival, due, expires, owed: true, attempts: Vec::new() };
+        let turn = self.turn();
+        let request = Request { arrival, due, expires, owed: true, attempts: Vec::new(), turn };
         self.requests.insert(arrival.request, request);
         self.hold(arrival.request);
         let admission = self.admission.of(arrival.model, &self.set, self.now);
@@ -731,6 +724,14 @@
         let (arrival, left) = (request.arrival, (request.due - self.now).secs());
         let mut best: Option<(f64, usize)> = None;
         let mut seen = [usize::MAX; COMPARE];
+        if let Some(k) = request.turn.filter(|&k| self.replicas[k].place.is_some()) {
+            let replica = &self.replicas[k];
+            let time =
+                self.line_on(k).at(self.unread(&arrival, k) + replica.waiting_tokens) / self.capacity(k);
+            if replica.used == 0.0 && time <= left && self.allowed(id, k) {
+                return Some(k);
+            }
+        }
         let special = self.places(&arrival);
         let mut passed = 0;
         for n in 0..SCAN {
@@ -784,7 +785,7 @@
     }
 
     /// Rules 2 to 4 for a send of this request to this replica.
-    fn allowed(&mut self, id: RequestId, k: usize) -> bool {
+    fn allowed(&self, id: RequestId, k: usize) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
         let class = &self.set.classes[request.arrival.class as usize];
         let replica = &self.replicas[k];
@@ -803,9 +804,8 @@
                 same && self.now - first.sent < class.window
             }
         };
-        let (prompt, model) = (f64::from(request.arrival.prompt), request.arrival.model);
-        let has = replica.usable() && replica.entry.models.ready_in(model).is_some();
-        request.owed && tries && alone && repeat && has && self.cold_allows(k, prompt, model)
+        let has = replica.usable() && replica.entry.models.ready_in(request.arrival.model).is_some();
+        request.owed && tries && alone && repeat && has && (!self.cold(k) || request.turn == Some(k))
     }
 
     /// The one place where an attempt starts.
@@ -817,11 +817,6 @@
         let Some(arrival) = self.requests.get(&id).map(|r| r.arrival) else { return };
         let belief = self.belief(&arrival, k);
         let unread = self.left_to_read(&arrival, belief);
-        if self.cold(k) && self.replicas[k].cold_credit >= 1.0 {
-            self.replicas[k].cold_credit -= (f64::from(arrival.prompt) / self.tokens.max(1.0)).max(1.0);
-        } else if !self.cold(k) {
-            self.warm_rate(1.0);
-        }
         self.tokens += (unread - self.tokens) * NEW / 8.0;
         let line = self.line_on(k);
         let replica = &mut self.replicas[k];
@@ -955,6 +950,8 @@
             let tries = request.tries() < self.set.max_attempts as usize;
             let safe = self.set.classes[arrival.class as usize].effect != Effect::Unsafe;
             if failed && tries && self.now < request.due && (safe || request.may_have_run().is_none()) {
+                let turn = self.turn();
+                self.requests.entry(id).and_modify(|r| r.turn = turn);
                 self.hold(id);
             } else {
                 // guards against replicas that turn some away, while others have room: what is served
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,140 @@
+//! What many gateways do together, each on its own: the sums that a rule or a peer sees. Every gateway is a
+//! `Balancer` of its own with values for time; no replica is modelled, answers come after a fixed time.
+
+mod common;
+
+use common::*;
+use rstest::rstest;
+use stilespan::interface::*;
+
+/// Gateways in the fleets of these tests.
+const GATEWAYS: u32 = 100;
+
+/// Many gateways, and what they sent: when, from which, and where to.
+struct Fleet {
+    gateways: Vec<Gateway>,
+    open: Vec<(Time, usize, u32)>,
+    sent: Vec<(Time, usize, u64)>,
+    ended: usize,
+    next: u32,
+}
+
+impl Fleet {
+    fn new(settings: &Settings, entries: &[Entry]) -> Fleet {
+        let gateway = |seed| {
+            let balancer = stilespan::Balancer::new(settings.clone(), seed, START);
+            let mut gateway = Gateway { balancer, now: START };
+            gateway.step(0, vec![list(ListKind::Persisted, entries.to_vec())]);
+            gateway
+        };
+        let gateways = (0..u64::from(settings.instances)).map(gateway).collect();
+        Fleet { gateways, open: Vec::new(), sent: Vec::new(), ended: 0, next: 0 }
+    }
+
+    /// One request for each gateway in turn, spread evenly over `span`; first tokens come after 50 ms, answers
+    /// end 200 ms later.
+    fn round(&mut self, span: Dur) {
+        let start = self.gateways[0].now;
+        for k in 0..self.gateways.len() {
+            let now = start + Dur(span.0 * k as u64 / self.gateways.len() as u64);
+            self.settle(now);
+            self.next += 1;
+            let ask = Arrival { valid_until: now + Dur(5_000_000), ..arrival(self.next) };
+            self.act(k, now, vec![Event::Request(ask)]);
+        }
+        let end = start + span;
+        self.settle(end);
+        for k in 0..self.gateways.len() {
+            self.act(k, end, vec![Event::Timer { mark: 0 }]);
+        }
+    }
+
+    fn settle(&mut self, now: Time) {
+        let (due, open) = self.open.iter().partition(|o| o.0 <= now);
+        self.open = open;
+        for (at, k, id) in due {
+            let events = vec![first(id, 0, 50_000), ended(id, 0, Outcome::Ok, true)];
+            self.act(k, at.max(self.gateways[k].now), events);
+        }
+    }
+
+    fn act(&mut self, k: usize, now: Time, events: Vec<Event>) {
+        let after = now - self.gateways[k].now;
+        for action in self.gateways[k].step(after.0, events) {
+            match action {
+                Action::Send { request, replica, .. } => {
+                    self.sent.push((now, k, replica.0));
+                    self.open.push((now + Dur(250_000), k, request.0));
+                }
+                Action::Refuse { .. } | Action::Fail { .. } => self.ended += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// The most sends to one replica within any window.
+    fn most(&self, window: Dur, of: impl Fn(u64) -> bool) -> usize {
+        let mut most = 0;
+        for &(at, _, to) in self.sent.iter().filter(|s| of(s.2)) {
+            let within = |s: &&(Time, usize, u64)| s.2 == to && s.0 >= at && s.0 - at <= window;
+            most = most.max(self.sent.iter().filter(within).count());
+        }
+        most
+    }
+}
+
+fn rules() -> Settings {
+    Settings {
+        instances: GATEWAYS,
+        fall: Dur(1_500_000),
+        start_capacity: 0.3,
+        warm_after: Dur(9_000_000),
+        ..settings()
+    }
+}
+
+fn cold(replica: u64) -> Entry {
+    Entry { started: START, ..entry(replica) }
+}
+
+/// A hundred gateways with a request a second each: a cold replica gets its part of them at once, though that is
+/// far less than one request of any single gateway's, and though no gateway has sent anything before. It takes
+/// in turn what the part allows and no more: three tenths of a warm one's and twice the margin.
+#[test]
+fn the_parts_of_many_gateways_reach_a_cold_replica_and_keep_its_rule() {
+    let mut entries: Vec<Entry> = (0..30).map(entry).collect();
+    entries.extend((30..40).map(cold));
+    let mut fleet = Fleet::new(&rules(), &entries);
+    for _ in 0..3 {
+        fleet.round(Dur(1_000_000));
+    }
+    // 100 requests a second over 40 replicas: a warm one's part is 2.5 a second, all of it within its means
+    let to_cold = fleet.sent.iter().filter(|s| s.2 >= 30).count();
+    assert!(to_cold >= 20, "{to_cold} of {} sends to ten cold replicas in 3 s", fleet.sent.len());
+    let rule = 4.0 * 0.5 * 2.5 * 1.5;
+    let most = fleet.most(Dur(1_500_000), |to| to >= 30);
+    assert!((most as f64) <= rule, "{most} sends to one cold replica in its window, {rule} allowed");
+}
+
+/// A fleet that is all cold, and one with a single warm replica left, met by gateways that have sent nothing:
+/// together they stay under the rule, and each request is sent, refused or still in time.
+#[rstest]
+#[case::all_cold(0)]
+#[case::one_warm(1)]
+fn a_cold_fleet_is_not_sent_one_request_by_every_gateway_at_once(#[case] warm: u64) {
+    let entries: Vec<Entry> = (0..10).map(|k| if k < warm { entry(k) } else { cold(k) }).collect();
+    let mut fleet = Fleet::new(&rules(), &entries);
+    // all of them have a request within a tenth of a second
+    fleet.round(Dur(100_000));
+    let rule = 4.0 * 0.3 * 10.0;
+    let most = fleet.most(Dur(1_500_000), |to| to >= warm);
+    assert!((most as f64) <= rule, "{most} sends to one cold replica, {rule} allowed");
+    assert!(fleet.sent.len() >= 30, "{} sends", fleet.sent.len());
+    for _ in 0..4 {
+        for k in 0..fleet.gateways.len() {
+            let now = fleet.gateways[k].now + Dur(500_000);
+            fleet.act(k, now, vec![Event::Timer { mark: 0 }]);
+        }
+    }
+    assert_eq!(fleet.sent.len() + fleet.ended, GATEWAYS as usize);
+}
