A router that knows too little of a server asks three for their load before it sends

Checked: reports of 10,000 probes beside the first token that followed. Utilisation alone says little; utilisation over requests served a second (how long one stays, Little's law) beside the fleet's mean says much: hints late 4% where it is under half, 15% at 1.25, 52% at 2.75, 88% above 4. Cause: policy.rs pick and line_on. A router sees a server once in 25 s here, so its fits are the prior for all and the choice is a draw; Event::Probed was ignored. And net/subchannel.rs load_report looked for short names (util, qps) where servers write the settings' (utilization, throughput): every value but x0 was lost (config.rs wire_name). Change: the best three of the drawn servers that were not heard of for an aim are probed; the request waits 1/16 of an aim at most; slowness by their reports stretches the prior (src/sight.rs, pure); who does not answer is left out, and one more three are drawn where none did. A failed probe puts a server's maturity off as a failed attempt does. A fleet of few routers hears of its servers from its own requests and probes little.

--- a/src/config.rs
+++ b/src/config.rs
@@ -151,7 +151,7 @@
             list.into_iter().flatten().map(|v| name(v).unwrap_or_default()).collect()
         };
         let number = |at: &str| raw.settings.pointer(at).and_then(Value::as_f64);
-        let report = names("/telemetry/names", None).iter().map(|n| wire_name(n).to_string()).collect();
+        let report = names("/telemetry/names", None);
         let seconds =
             number("/limits/connect-timeout").filter(|s| (0.001..3600.0).contains(s)).unwrap_or(0.25);
         Ok(Config {
@@ -173,19 +173,6 @@
     }
 }
 
-/// A load report's value as model servers name it.
-fn wire_name(setting: &str) -> &str {
-    match setting {
-        "outstanding" => "inflight",
-        "backlog" => "queue",
-        "utilization" => "util",
-        "recent_ms" => "latency_ms",
-        "throughput" => "qps",
-        "errors_per_s" => "eps",
-        other => other,
-    }
-}
-
 /// A seed of 16 hex digits; any other text is folded into one.
 fn seed(text: &str) -> u64 {
     u64::from_str_radix(text, 16).unwrap_or_else(|_| crate::wire::replica_id(text).0)
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -181,11 +181,16 @@
                 }
                 let _ = answer.send(Answer::Started(pieces));
                 let took = Dur(took.as_micros() as u64);
+                trace!(
+                    "rpc {} attempt {} at {:x}: began after {} us",
+                    id.request.0, id.trial, out.replica.0, took.0
+                );
                 self.events.push(Event::First { request: id.request, trial: id.trial, took });
             }
             Mail::Ended(id, at, ending) => self.ended(id, at, ending),
             Mail::Probed(replica, outcome, took, report) => {
                 let took = Dur(took.as_micros() as u64);
+                trace!("probe at {:x}: {outcome:?} after {} us, {report:?}", replica.0, took.0);
                 self.events.push(Event::Probed { replica, outcome, took, report });
             }
         }
@@ -207,6 +212,7 @@
             rpc.facts;
         let expires = self.clock.at(rpc.facts.received) + Dur(rpc.facts.patience.as_micros() as u64);
         let hint = Dur(rpc.facts.hint.as_micros() as u64);
+        trace!("rpc {}: class {class}, {prompt} tokens, {:?}", request.0, rpc.facts.patience);
         let arrival = Arrival {
             request,
             class,
@@ -298,7 +304,8 @@
         let Some(open) = self.rpcs.get_mut(&request) else { return };
         open.sent |= !matches!(ending.outcome, Outcome::ConnectFailed | Outcome::Moot);
         let took = Dur(at.saturating_duration_since(out.since).as_micros() as u64);
-        trace!("rpc {} attempt {}: {:?} after {} us", request.0, out.trial, ending.outcome, took.0);
+        let at = out.replica.0;
+        trace!("rpc {} attempt {} at {at:x}: {:?} after {} us", request.0, out.trial, ending.outcome, took.0);
         let Ending { outcome, kept, report } = ending;
         let closed = open.answer.is_none();
         self.events.push(Event::Ended { request, trial: out.trial, outcome, took, kept, closed, report });
@@ -393,6 +400,7 @@
     fn answer(&mut self, request: RequestId, answer: impl FnOnce(bool, u32) -> Answer) {
         let Some(open) = self.rpcs.get_mut(&request) else { return };
         if let Some(to) = open.answer.take() {
+            trace!("rpc {}: turned away after {} attempts", request.0, open.trials);
             if open.live {
                 self.load.decline();
             }
@@ -408,7 +416,7 @@
         let (hold, called_off) = oneshot::channel();
         let expires = Time(open.expires.0.saturating_sub(GUARD.0));
         let until = give_up.map_or(expires, |d| (now + d).min(expires));
-        let out = Out { trial, since: at, until: Some(until), _hold: hold };
+        let out = Out { trial, replica, since: at, until: Some(until), _hold: hold };
         // guards against a second copy, an attempt too many and one that nobody waits for
         let moot = open.out.is_some() || open.answer.is_none() || spent >= self.max_attempts || until <= now;
         let payload = open.payload.clone();
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -5,13 +5,15 @@
 use tokio::sync::oneshot;
 
 use super::{Answer, Payload};
-use crate::interface::Time;
+use crate::interface::{ReplicaId, Time};
 
 /// The call attempt that is out.
 #[derive(Debug)]
 pub(super) struct Out {
     /// Its number.
     pub trial: u32,
+    /// Where it went.
+    pub replica: ReplicaId,
     /// When it was ordered.
     pub since: Instant,
     /// When the router stops waiting; none once it has begun to answer.
--- a/src/fit.rs
+++ b/src/fit.rs
@@ -25,6 +25,11 @@
         self.a * x + self.b
     }
 
+    /// The line of what takes so many times as long.
+    pub fn times(self, factor: f64) -> Line {
+        Line { a: self.a * factor, b: self.b * factor }
+    }
+
     /// This line after `age`: it fades into another.
     pub fn towards(self, other: Line, age: f64) -> Line {
         let keep = (-age).exp();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -136,6 +136,8 @@
     Util,
     /// Errors a second.
     Errors,
+    /// Requests served a second.
+    Served,
     /// Anything else.
     Other,
 }
--- a/src/net/subchannel.rs
+++ b/src/net/subchannel.rs
@@ -66,7 +66,7 @@
                 mail: mail.clone(),
                 pool: Mutex::default(),
             };
-            debug!("subchannel {} at {}", host.name, host.address);
+            debug!("subchannel {} ({:x}) at {}", host.name, replica.0, host.address);
             tokio::spawn(Arc::new(subchannel).run(orders));
         }
         orders_to
@@ -304,6 +304,7 @@
         let Ok((head, framing)) = framed else { return (Outcome::Reset, None) };
         let body = self.read_rest(connection, &head, framing).await;
         let text = body.as_deref().and_then(|b| std::str::from_utf8(b).ok());
+        trace!("{}: load report {text:?}", self.address);
         let report = text.and_then(|t| load_report(t, &self.options.report));
         (if head.status == 200 { Outcome::Ok } else { Outcome::Error }, report)
     }
@@ -374,6 +375,19 @@
     })
 }
 
+/// A load report's value by its shorter name, which some servers use.
+fn short(setting: &str) -> &str {
+    match setting {
+        "outstanding" => "inflight",
+        "backlog" => "queue",
+        "utilization" => "util",
+        "recent_ms" => "latency_ms",
+        "throughput" => "qps",
+        "errors_per_s" => "eps",
+        other => other,
+    }
+}
+
 /// A load report in the text form, its values in the order of the settings.
 fn load_report(text: &str, names: &[String]) -> Option<Report> {
     let text = text.trim();
@@ -382,7 +396,8 @@
     let mut report: Report = [f32::NAN; 4];
     for field in fields.split(',') {
         let Some((name, value)) = field.split_once('=') else { continue };
-        let place = names.iter().position(|n| n == name.trim()).filter(|&k| k < report.len());
+        let name = name.trim();
+        let place = names.iter().position(|n| n == name || short(n) == name).filter(|&k| k < report.len());
         if let (Some(k), Ok(value)) = (place, value.trim().parse::<f32>()) {
             report[k] = value;
         }
@@ -416,9 +431,12 @@
 
     #[test]
     fn a_load_report_is_put_in_the_settings_order() {
-        let names = ["util", "eps"].map(String::from);
-        let report = load_report("TEXT eps=3, util=0.5, other=1", &names).unwrap();
-        assert_eq!(report[..2], [0.5, 3.0]);
-        assert!(report[2].is_nan());
+        let names = ["utilization", "errors_per_s"].map(String::from);
+        // as the settings name them, and by the shorter names
+        for text in ["TEXT errors_per_s=3, utilization=0.5, other=1", "TEXT eps=3, util=0.5, other=1"] {
+            let report = load_report(text, &names).unwrap();
+            assert_eq!(report[..2], [0.5, 3.0]);
+            assert!(report[2].is_nan());
+        }
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,7 +10,9 @@
 pub use crate::fit::{Fit, Line};
 use crate::fit::{PRIOR, Steps};
 use crate::interface::*;
-use crate::memory::{Recent, mix};
+use crate::memory::{Recent, Ring};
+use crate::open::{Attempt, Phase, Request};
+use crate::sight::{Means, Sight};
 
 /// A first token is overdue at this multiple of its prediction: a healthy fit errs by less.
 const OVERDUE: f64 = 2.0;
@@ -37,8 +39,11 @@
 /// Held requests looked at in one release, and mature replicas compared for one request.
 const SCAN: usize = 32;
 const COMPARE: usize = 8;
-/// Points that each replica has on the ring of session homes; evens out its arcs.
-const POINTS: u64 = 8;
+/// Replicas whose load is asked for ahead of one request, and for how long of an aim that is awaited.
+const ASK: usize = 3;
+const ASK_PART: f64 = 1.0 / 16.0;
+/// What was seen of a replica counts as its present state for so many aims.
+const FRESH: f64 = 1.0;
 /// Part of the cold share that is used; the rest is for chance and for gateways' unequal traffic.
 const COLD_MARGIN: f64 = 0.5;
 
@@ -53,50 +58,6 @@
     if pace > td && tp > line.b { (tp - line.b) / line.a.max(1e-9) } else { 0.0 }
 }
 
-/// Where an attempt stands.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Phase {
-    Waiting,
-    Streaming(Time),
-    Over { never_ran: bool },
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Attempt {
-    replica: usize,
-    sent: Time,
-    tokens: f64,
-    unread: f64,
-    belief: (usize, f64),
-    load: Dur,
-    phase: Phase,
-}
-
-struct Request {
-    arrival: Arrival,
-    due: Time,
-    expires: Time,
-    owed: bool,
-    attempts: Vec<Attempt>,
-    turn: Option<usize>,
-}
-
-impl Request {
-    fn in_flight(&self) -> bool {
-        self.attempts.iter().any(|a| !matches!(a.phase, Phase::Over { .. }))
-    }
-
-    /// Attempts so far, those under earlier ids too.
-    fn tries(&self) -> usize {
-        self.attempts.len() + self.arrival.spent as usize
-    }
-
-    /// The first attempt that may have run.
-    fn may_have_run(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|a| a.phase != Phase::Over { never_ran: true })
-    }
-}
-
 /// A replica as this gateway sees it.
 #[derive(Default)]
 struct Replica {
@@ -116,6 +77,7 @@
     failures: u32,
     failing: f64,
     used: f64,
+    sight: Sight,
 }
 
 impl Replica {
@@ -123,6 +85,11 @@
         self.listed && self.entry.state == State::InService
     }
 
+    /// Whether it has been heard of so lately.
+    fn known(&self, now: Time, age: Dur) -> bool {
+        self.sight.fresh(now, age) || (self.seen && now - self.line.1 < age)
+    }
+
     /// Its size beside the others', as the list has it.
     fn size(&self) -> f64 {
         if self.entry.rating > 0.0 { self.entry.rating } else { 1.0 }
@@ -229,7 +196,7 @@
     now: Time,
     replicas: Vec<Replica>,
     index: FxHashMap<ReplicaId, usize>,
-    ring: Vec<(u64, usize)>,
+    ring: Ring,
     mature: Vec<usize>,
     later: BTreeSet<(Time, usize)>,
     requests: FxHashMap<RequestId, Request>,
@@ -252,6 +219,7 @@
     steps: Steps,
     admission: Admission,
     size: f64,
+    means: Means,
     all_warm: Time,
     ask_at: Option<Time>,
     ask_failures: u32,
@@ -276,7 +244,7 @@
             now,
             replicas: Vec::new(),
             index: FxHashMap::default(),
-            ring: Vec::new(),
+            ring: Ring::default(),
             mature: Vec::new(),
             later: BTreeSet::new(),
             requests: FxHashMap::default(),
@@ -299,6 +267,7 @@
             steps: Steps::default(),
             admission,
             size: 1.0,
+            means: Means::default(),
             all_warm: now,
             ask_at,
             ask_failures: 0,
@@ -333,7 +302,8 @@
             Event::Gone { request } => self.gone(*request),
             Event::Ended { .. } => self.ended(event, out),
             Event::Timer { .. } => self.timer = self.timer.filter(|&t| t > self.now),
-            Event::Probed { .. } | Event::Peer { .. } => {}
+            &Event::Probed { replica, outcome, report, .. } => self.probed(replica, outcome, report),
+            Event::Peer { .. } => {}
         }
     }
 
@@ -360,19 +330,14 @@
         }
         self.mature.clear();
         self.later.clear();
-        self.ring.clear();
         for k in 0..self.replicas.len() {
             self.replicas[k].place = None;
-            if self.replicas[k].usable() {
-                self.place(k);
-                let id = self.replicas[k].entry.replica.0;
-                self.ring.extend((0..POINTS).map(|p| (mix(id.wrapping_add(mix(p))), k)));
-            }
+            self.place(k);
         }
-        self.ring.sort_unstable();
-        let sizes = self.ring.iter().map(|p| self.replicas[p.1].size()).sum::<f64>();
-        self.size = sizes / self.ring.len().max(1) as f64;
-        let started = self.ring.iter().map(|p| self.replicas[p.1].entry.started).filter(|t| t.0 > 0).max();
+        let usable = || self.replicas.iter().enumerate().filter(|(_, r)| r.usable());
+        self.ring = Ring::new(usable().map(|(k, r)| (k, r.entry.replica.0)));
+        self.size = usable().map(|(_, r)| r.size()).sum::<f64>() / usable().count().max(1) as f64;
+        let started = usable().map(|(_, r)| r.entry.started).filter(|t| t.0 > 0).max();
         self.all_warm = started.map_or(self.now, |t| t + self.set.warm_after);
         // guards against waiting for a model that has left the list: another may still be in time
         let held: Vec<RequestId> = self.queue.iter().map(|q| q.1).collect();
@@ -487,7 +452,7 @@
         if self.now >= self.all_warm {
             return None;
         }
-        let k = self.ring.get(self.rng.random_range(0..self.ring.len().max(1)))?.1;
+        let k = self.ring.any(self.rng.random())?;
         let size = self.replicas[k].size() / self.size;
         let part = COLD_MARGIN * self.set.fall_multiple * self.capacity(k) * size;
         (self.cold(k) && self.rng.random::<f64>() < part).then_some(k)
@@ -508,7 +473,17 @@
         let worth = if arrival.repeat { REPEAT } else { 1.0 } * c.worth;
         let worth = worth * self.admission.share_worth(&self.set, arrival.tenant as usize, self.now);
         let turn = self.turn();
-        let request = Request { arrival, due, expires, owed: true, attempts: Vec::new(), turn };
+        let request = Request {
+            arrival,
+            due,
+            expires,
+            owed: true,
+            attempts: Vec::new(),
+            turn,
+            choice: Vec::new(),
+            rounds: 0,
+            asked: self.now,
+        };
         self.requests.insert(arrival.request, request);
         self.hold(arrival.request);
         let admission = self.admission.of(arrival.model, &self.set, self.now);
@@ -597,10 +572,8 @@
     /// The replica where a session or a prefix is at home, the same at every gateway with the same list: the
     /// next one on the ring that has the model.
     fn home(&self, arrival: &Arrival, key: Option<u64>) -> Option<usize> {
-        let at = mix(key?);
-        let next = self.ring.partition_point(|p| p.0 < at);
         let has = |k: usize| self.replicas[k].entry.models.ready_in(arrival.model).is_some();
-        self.ring[next..].iter().chain(&self.ring).map(|p| p.1).find(|&k| has(k))
+        self.ring.home(key?, has)
     }
 
     /// The least of a figure over the classes with requests among these counts.
@@ -642,7 +615,8 @@
 
     fn line_on(&self, k: usize) -> Line {
         let (line, at) = self.replicas[k].line;
-        line.towards(self.prior(), (self.now - at).secs() / self.fade)
+        let slow = self.replicas[k].sight.slowness(&self.means, self.now, SLOW_FADE * self.fade);
+        line.towards(self.prior().times(slow), (self.now - at).secs() / self.fade)
     }
 
     fn budget_of(&self, k: usize) -> f64 {
@@ -677,7 +651,7 @@
                 break;
             }
             after = (next.0, RequestId(next.1.0.saturating_add(1)));
-            if let Some(k) = self.pick(next.1) {
+            if let Some(k) = self.pick(next.1, out) {
                 self.send(next.1, k, out);
             }
         }
@@ -718,26 +692,36 @@
     }
 
     /// The mature replica for a request: ties go to the least predicted first-token time, which counts what a
-    /// replica is likely to keep of the prompt; then at random.
-    fn pick(&mut self, id: RequestId) -> Option<usize> {
+    /// replica is likely to keep of the prompt and what its load report told; then at random.
+    fn pick(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<usize> {
         let request = self.requests.get(&id)?;
         let (arrival, left) = (request.arrival, (request.due - self.now).secs());
-        let mut best: Option<(f64, usize)> = None;
-        let mut seen = [usize::MAX; COMPARE];
-        if let Some(k) = request.turn.filter(|&k| self.replicas[k].place.is_some()) {
-            let replica = &self.replicas[k];
-            let time =
-                self.line_on(k).at(self.unread(&arrival, k) + replica.waiting_tokens) / self.capacity(k);
-            if replica.used == 0.0 && time <= left && self.allowed(id, k) {
+        let (choice, turn) = (request.choice.clone(), request.turn);
+        let ready = |k: &usize| self.replicas[*k].place.is_some();
+        if let Some(k) = turn.filter(ready).filter(|&k| self.replicas[k].used == 0.0) {
+            let time = self.line_on(k).at(self.unread(&arrival, k) + self.replicas[k].waiting_tokens);
+            if time / self.capacity(k) <= left && self.allowed(id, k) {
                 return Some(k);
             }
         }
-        let special = self.places(&arrival);
-        let mut passed = 0;
-        for n in 0..SCAN {
-            if n - passed == COMPARE {
-                break;
+        let drawn = if choice.is_empty() { self.draw(&arrival) } else { choice };
+        let mut scored: Vec<(f64, usize)> = Vec::with_capacity(COMPARE);
+        for k in drawn {
+            if let Some(score) = self.score(&arrival, k, left).filter(|_| self.allowed(id, k)) {
+                scored.push((score * (1.0 + 1e-3 * self.rng.random::<f64>()), k));
             }
+        }
+        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let best = if self.set.probes { self.ask(id, &scored, out) } else { scored.first().map(|s| s.1) };
+        // a prompt may be kept where maturity comes a little later, sooner than it is read elsewhere
+        best.filter(|&k| self.replicas[k].place.is_some())
+    }
+
+    /// Replicas to compare for a request: where its prompt may be kept, and mature ones at random.
+    fn draw(&mut self, arrival: &Arrival) -> Vec<usize> {
+        let mut drawn = Vec::with_capacity(COMPARE);
+        let special = self.places(arrival);
+        for n in 0..SCAN {
             let k = match special.get(n) {
                 Some(&Some(k)) => k,
                 Some(None) => continue,
@@ -748,40 +732,88 @@
                 None => self.mature[self.rng.random_range(0..self.mature.len())],
             };
             // replicas without the model are passed over at the cost of a draw
-            let Some(load) = self.replicas[k].entry.models.ready_in(arrival.model) else {
-                passed += 1;
-                continue;
-            };
-            if seen.contains(&k) || !self.replicas[k].usable() {
-                continue;
-            }
-            seen[n - passed] = k;
-            let tokens = self.unread(&arrival, k);
-            let replica = &self.replicas[k];
-            let overdue = replica.waiting.front().is_some_and(|w| w.2 < self.now);
-            if overdue || (replica.used > 0.0 && replica.used + tokens > self.budget_of(k)) {
-                continue;
+            let has = self.replicas[k].entry.models.ready_in(arrival.model).is_some();
+            if has && !drawn.contains(&k) && self.replicas[k].usable() {
+                drawn.push(k);
             }
-            let aim = self.set.classes[arrival.class as usize].aim.secs();
-            // prices count as parts of the aim: of crossing zones, of a connection where none is idle
-            let away = replica.entry.zone != self.set.zone;
-            let price = if away { CROSSING * self.set.cross_price } else { 0.0 };
-            let idle = replica.idle.back().is_some_and(|&t| self.now - t < self.set.conn_idle);
-            let price = aim * (price + if idle { 0.0 } else { self.set.handshake_price });
-            let wait = (replica.maturity - self.now).secs();
-            let time = wait + load.secs() + self.line_on(k).at(tokens + replica.waiting_tokens);
-            let price = price + aim * FAILING * replica.failing;
-            // guards against sending at the last moment what then times out: under overload most of it
-            if time > left {
-                continue;
+            if drawn.len() == COMPARE {
+                break;
             }
-            let score = (time + price) * (1.0 + 1e-3 * self.rng.random::<f64>());
-            if best.is_none_or(|b| score < b.0) && self.allowed(id, k) {
-                best = Some((score, k));
+        }
+        drawn
+    }
+
+    /// A request's predicted first-token time at a replica, with the prices as time; none where it can't be in
+    /// time or nothing further is to go there now.
+    fn score(&self, arrival: &Arrival, k: usize, left: f64) -> Option<f64> {
+        let tokens = self.unread(arrival, k);
+        let replica = &self.replicas[k];
+        let load = replica.entry.models.ready_in(arrival.model)?;
+        let overdue = replica.waiting.front().is_some_and(|w| w.2 < self.now);
+        if overdue || (replica.used > 0.0 && replica.used + tokens > self.budget_of(k)) {
+            return None;
+        }
+        let aim = self.set.classes[arrival.class as usize].aim.secs();
+        // prices count as parts of the aim: of crossing zones, of a connection where none is idle
+        let away = replica.entry.zone != self.set.zone;
+        let price = if away { CROSSING * self.set.cross_price } else { 0.0 };
+        let idle = replica.idle.back().is_some_and(|&t| self.now - t < self.set.conn_idle);
+        let price = price + if idle { 0.0 } else { self.set.handshake_price };
+        let price = price + FAILING * replica.failing.max(replica.sight.errors);
+        let wait = (replica.maturity - self.now).secs();
+        let time = wait + load.secs() + self.line_on(k).at(tokens + replica.waiting_tokens);
+        // guards against sending at the last moment what then times out: under overload most of it
+        (time <= left).then_some(time + aim * price)
+    }
+
+    /// The best replica once the best few have told their load: a report tells what all gateways together do to
+    /// a replica, of which each by itself learns too little and too late. Those that have not answered within a
+    /// part of the aim are left out, which also keeps a request from those that have gone without a word.
+    fn ask(&mut self, id: RequestId, scored: &[(f64, usize)], out: &mut Vec<Action>) -> Option<usize> {
+        let fresh = Dur::from_secs(FRESH * self.admission.aim);
+        let request = self.requests.get_mut(&id)?;
+        let scored = &scored[..scored.len().min(ASK)];
+        if request.choice.is_empty() {
+            (request.asked, request.rounds) = (self.now, request.rounds + 1);
+            for &(_, k) in scored {
+                request.choice.push(k);
+                let replica = &mut self.replicas[k];
+                if !replica.known(self.now, fresh) && !replica.sight.awaited(self.now) {
+                    replica.sight.asked = self.now;
+                    out.push(Action::Probe { replica: replica.entry.replica });
+                }
             }
         }
-        // a prompt may be kept where maturity comes a little later, sooner than it is read elsewhere
-        best.map(|b| b.1).filter(|&k| self.replicas[k].place.is_some())
+        let known = |k: usize| self.replicas[k].known(self.now, fresh);
+        let waited = self.now - request.asked >= Dur::from_secs(ASK_PART * self.admission.aim);
+        if !waited && scored.iter().any(|s| !known(s.1)) {
+            return None;
+        }
+        request.choice.clear();
+        let last = scored.first().filter(|_| request.rounds > 1);
+        scored.iter().find(|s| known(s.1)).or(last).map(|s| s.1)
+    }
+
+    fn probed(&mut self, replica: ReplicaId, outcome: Outcome, report: Option<Report>) {
+        let Some(&k) = self.index.get(&replica) else { return };
+        let replica = &mut self.replicas[k];
+        replica.sight.asked = Time(0);
+        if outcome == Outcome::Ok {
+            replica.sight.take(report, &self.set.report, &mut self.means, self.now);
+        } else {
+            self.fault(k, 0.0);
+        }
+    }
+
+    /// Puts off the maturity of a replica that has failed: each failure in a row doubles the wait, from what it
+    /// cost or the delay of one ordinary request.
+    fn fault(&mut self, k: usize, waited: f64) {
+        let least = self.prior.at(self.tokens);
+        let replica = &mut self.replicas[k];
+        replica.failures = (replica.failures + 1).min(6);
+        let wait = least.max(waited) * f64::from(1 << replica.failures);
+        let at = (self.now + Dur::from_secs(wait)).max(replica.maturity);
+        self.mature_at(k, at);
     }
 
     /// Rules 2 to 4 for a send of this request to this replica.
@@ -934,14 +966,10 @@
             replica.failing += (f64::from(u8::from(failed)) - replica.failing) * NEW;
         }
         if failed {
-            // each failure in a row doubles the wait, from what it cost or the delay of one ordinary request
-            replica.failures = (replica.failures + 1).min(6);
             // guards against a replica left out for as long as a stream had run that came back spoilt: only
             // time spent waiting for a first token tells of the replica
             let waited = if outcome == Outcome::Timeout { took.secs() } else { 0.0 };
-            let wait = self.prior.at(self.tokens).max(waited) * f64::from(1 << replica.failures);
-            let at = (self.now + Dur::from_secs(wait)).max(replica.maturity);
-            self.mature_at(k, at);
+            self.fault(k, waited);
         } else if replica.in_flight == 0 && replica.failures == 0 && replica.seen {
             self.mature_at(k, self.now);
         }
@@ -970,7 +998,10 @@
         let (head, later) = (self.queue.first(), self.later.first());
         let soon =
             head.filter(|_| !self.mature.is_empty()).map(|_| self.now + Dur::from_secs(self.pace / 2.0));
-        let next = [self.ask_at, soon, head.map(|h| h.0), later.filter(|_| head.is_some()).map(|l| l.0)];
+        let waits = self.now + Dur::from_secs(ASK_PART * self.admission.aim);
+        let waits = head.filter(|_| self.set.probes).map(|_| waits);
+        let next =
+            [self.ask_at, soon, waits, head.map(|h| h.0), later.filter(|_| head.is_some()).map(|l| l.0)];
         let at = next.into_iter().flatten().min();
         let Some(at) = at.map(|t| t.max(self.now + self.set.period)) else { return };
         if self.timer.is_none_or(|t| t > at) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -559,6 +559,7 @@
         "backlog" => Field::Queue,
         "utilization" => Field::Util,
         "errors_per_s" => Field::Errors,
+        "throughput" => Field::Served,
         _ => Field::Other,
     };
     Ok(Settings {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -138,3 +138,53 @@
     }
     assert_eq!(fleet.sent.len() + fleet.ended, GATEWAYS as usize);
 }
+
+fn probing() -> Settings {
+    let report = vec![Field::Errors, Field::Served, Field::Util, Field::Other];
+    Settings { probes: true, report, ..rules() }
+}
+
+fn probes(actions: &[Action]) -> Vec<u64> {
+    let probe = |a: &Action| match a {
+        Action::Probe { replica } => Some(replica.0),
+        _ => None,
+    };
+    actions.iter().filter_map(probe).collect()
+}
+
+fn told(replica: u64, outcome: Outcome, report: Option<Report>) -> Event {
+    Event::Probed { replica: ReplicaId(replica), outcome, took: Dur(2_000), report }
+}
+
+/// A gateway that has sent nothing meets a replica that others have found slow, one that answers no probe and one
+/// that can't be reached: it sends to the others alone, soon, and asks for no more than three loads a request.
+#[test]
+fn a_gateway_that_knows_nothing_sends_where_loads_tell_it_to() {
+    let mut to = Vec::new();
+    for seed in 0..40 {
+        let balancer = stilespan::Balancer::new(probing(), seed, START);
+        let mut gateway = Gateway { balancer, now: START };
+        gateway.step(0, vec![list(ListKind::Persisted, (0..6).map(entry).collect())]);
+        for id in 1..=4 {
+            let mut actions = gateway.ask(100_000, arrival(id));
+            let mut asked = 0;
+            for _ in 0..100 {
+                asked += probes(&actions).len();
+                let answers = probes(&actions).into_iter().filter_map(|k| match k {
+                    0 => Some(told(k, Outcome::Ok, Some([0.0, 0.5, 0.6, 0.5]))),
+                    1 => None,
+                    2 => Some(told(k, Outcome::ConnectFailed, None)),
+                    _ => Some(told(k, Outcome::Ok, Some([0.0, 4.0, 0.1, 0.1]))),
+                });
+                let events = answers.chain([Event::Timer { mark: 0 }]).collect();
+                to.extend(sends(&actions).iter().map(|s| s.1));
+                actions = gateway.step(2_000, events);
+            }
+            assert!(asked <= 6, "{asked} probes for one request");
+            gateway.step(2_000, vec![first(id, 0, 50_000), ended(id, 0, Outcome::Ok, true)]);
+        }
+    }
+    assert_eq!(to.len(), 160, "each is sent within 200 ms");
+    let slow = to.iter().filter(|&&k| k < 3).count();
+    assert!(slow <= 8, "{slow} of 160 sends to replicas that are slow or gone");
+}
