Batch work crosses zones as readily as hints, and shared beginnings have no home

Cause: policy.rs score priced a crossing at 0.4 of the request's own aim: 1.2 s for a batch-mark, far beyond what any fit differs by, so batch work never left a full zone. places() put a beginning's home among the drawn for every request at every gateway, though every server keeps all beginnings after a minute. And line_on held a server's line at the prior of its listing for 1.6 s, so what a report told a restarted router counted for nothing at first (found by the test). Change: prices count as parts of the shortest aim; a session's home and last place stay, a beginning's home goes; the line of a server without own figures follows its report at once.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -444,10 +444,10 @@
         self.set.start_capacity + (1.0 - self.set.start_capacity) * age
     }
 
-    /// The cold replica that a call attempt may go to, drawn anew for each: every replica is as likely as any,
-    /// and a cold one is taken for the part of its turns that its capacity allows. So all gateways together
-    /// send it that part of what a warm one is due, however little each of them sees. Nothing is saved up:
-    /// guards against many gateways that each have a turn left and take it at once.
+    /// The cold replica that a call attempt may go to, drawn anew for each: every replica is as likely as
+    /// any, and a cold one is taken for the part of its turns that its capacity allows. So all gateways
+    /// together send it that part of what a warm one is due, however little each of them sees. Nothing is
+    /// saved up: guards against many gateways that each have a turn left and take it at once.
     fn turn(&mut self) -> Option<usize> {
         if self.now >= self.all_warm {
             return None;
@@ -616,7 +616,9 @@
     fn line_on(&self, k: usize) -> Line {
         let (line, at) = self.replicas[k].line;
         let slow = self.replicas[k].sight.slowness(&self.means, self.now, SLOW_FADE * self.fade);
-        line.towards(self.prior().times(slow), (self.now - at).secs() / self.fade)
+        // guards against a replica new to this gateway that stands as all do, whatever its report has told
+        let age = if self.replicas[k].seen { (self.now - at).secs() / self.fade } else { f64::INFINITY };
+        line.towards(self.prior().times(slow), age)
     }
 
     fn budget_of(&self, k: usize) -> f64 {
@@ -686,9 +688,11 @@
         self.index.get(&last).copied()
     }
 
-    /// Where a prompt or its beginning is likely to be kept: at the last turn's replica and at the homes.
-    fn places(&self, arrival: &Arrival) -> [Option<usize>; 3] {
-        [self.last_turn(arrival), self.home(arrival, arrival.session), self.home(arrival, arrival.prefix)]
+    /// Where a prompt is likely to be kept: at the last turn's replica and at the session's home. A shared
+    /// beginning is soon kept everywhere, and has no home: guards against one replica at which every gateway
+    /// looks for it.
+    fn places(&self, arrival: &Arrival) -> [Option<usize>; 2] {
+        [self.last_turn(arrival), self.home(arrival, arrival.session)]
     }
 
     /// The mature replica for a request: ties go to the least predicted first-token time, which counts what a
@@ -743,8 +747,8 @@
         drawn
     }
 
-    /// A request's predicted first-token time at a replica, with the prices as time; none where it can't be in
-    /// time or nothing further is to go there now.
+    /// A request's predicted first-token time at a replica, with the prices as time; none where it can't be
+    /// in time or nothing further is to go there now.
     fn score(&self, arrival: &Arrival, k: usize, left: f64) -> Option<f64> {
         let tokens = self.unread(arrival, k);
         let replica = &self.replicas[k];
@@ -754,7 +758,8 @@
             return None;
         }
         let aim = self.set.classes[arrival.class as usize].aim.secs();
-        // prices count as parts of the aim: of crossing zones, of a connection where none is idle
+        // prices count as parts of the shortest aim: of crossing zones, of a connection where none is idle. A
+        // class with more time pays no more: its work weighs as much on a full zone, at others' cost
         let away = replica.entry.zone != self.set.zone;
         let price = if away { CROSSING * self.set.cross_price } else { 0.0 };
         let idle = replica.idle.back().is_some_and(|&t| self.now - t < self.set.conn_idle);
@@ -763,12 +768,13 @@
         let wait = (replica.maturity - self.now).secs();
         let time = wait + load.secs() + self.line_on(k).at(tokens + replica.waiting_tokens);
         // guards against sending at the last moment what then times out: under overload most of it
-        (time <= left).then_some(time + aim * price)
+        (time <= left).then_some(time + aim.min(self.admission.aim) * price)
     }
 
-    /// The best replica once the best few have told their load: a report tells what all gateways together do to
-    /// a replica, of which each by itself learns too little and too late. Those that have not answered within a
-    /// part of the aim are left out, which also keeps a request from those that have gone without a word.
+    /// The best replica once the best few have told their load: a report tells what all gateways together
+    /// do to a replica, of which each by itself learns too little and too late. Those that have not
+    /// answered within a part of the aim are left out, which also keeps a request from those that have gone
+    /// without a word.
     fn ask(&mut self, id: RequestId, scored: &[(f64, usize)], out: &mut Vec<Action>) -> Option<usize> {
         let fresh = Dur::from_secs(FRESH * self.admission.aim);
         let request = self.requests.get_mut(&id)?;
@@ -805,8 +811,8 @@
         }
     }
 
-    /// Puts off the maturity of a replica that has failed: each failure in a row doubles the wait, from what it
-    /// cost or the delay of one ordinary request.
+    /// Puts off the maturity of a replica that has failed: each failure in a row doubles the wait, from
+    /// what it cost or the delay of one ordinary request.
     fn fault(&mut self, k: usize, waited: f64) {
         let least = self.prior.at(self.tokens);
         let replica = &mut self.replicas[k];
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -188,3 +188,45 @@
     let slow = to.iter().filter(|&&k| k < 3).count();
     assert!(slow <= 8, "{slow} of 160 sends to replicas that are slow or gone");
 }
+
+/// A beginning that all sessions share draws nobody's requests to one replica: all gateways would look there.
+#[test]
+fn a_shared_beginning_does_not_gather_all_gateways_at_one_replica() {
+    let entries: Vec<Entry> = (0..40).map(entry).collect();
+    let mut to = [0; 40];
+    for seed in 0..200 {
+        let balancer = stilespan::Balancer::new(rules(), seed, START);
+        let mut gateway = Gateway { balancer, now: START };
+        gateway.step(0, vec![list(ListKind::Persisted, entries.clone())]);
+        let ask = Arrival { prefix: Some(7), shared: 300, session: Some(seed), ..arrival(1) };
+        for (_, k) in sends(&gateway.ask(1_000, ask)) {
+            to[k as usize] += 1;
+        }
+    }
+    assert_eq!(to.iter().sum::<usize>(), 200);
+    assert!(to.iter().all(|&n| n <= 20), "5 each would be even: {to:?}");
+}
+
+/// Work that can wait leaves a zone whose replicas are slow as soon as work that can't: it weighs as much there.
+#[rstest]
+#[case::short_aim(0)]
+#[case::long_aim(1)]
+fn either_class_crosses_from_a_full_zone_at_the_same_gain(#[case] class: u32) {
+    let mut set = Settings { cross_price: 0.1, ..probing() };
+    set.classes[0].aim = Dur(400_000);
+    set.classes[0].aim_per_1000 = Dur(60_000);
+    set.classes.push(Class { aim: Dur(3_000_000), ..set.classes[0].clone() });
+    let mut gateway = Gateway { balancer: stilespan::Balancer::new(set, 1, START), now: START };
+    let far = Entry { zone: 1, ..entry(1) };
+    gateway.step(0, vec![list(ListKind::Persisted, vec![entry(0), far])]);
+    let mut sent = Vec::new();
+    let mut actions = gateway.ask(1_000, Arrival { class, prompt: 2_000, ..arrival(1) });
+    for _ in 0..100 {
+        sent.extend(sends(&actions).iter().map(|s| s.1));
+        let report = |k| if k == 0 { [0.0, 1.0, 0.6, 0.5] } else { [0.0, 4.0, 0.1, 0.1] };
+        let answers = probes(&actions).into_iter().map(|k| told(k, Outcome::Ok, Some(report(k))));
+        let events = answers.chain([Event::Timer { mark: 0 }]).collect();
+        actions = gateway.step(2_000, events);
+    }
+    assert_eq!(sent, [1]);
+}
