A test's replicas turn requests away by turns, not three of them always

Change: every replica of that test turns one request in five away; 20 turn-aways are wanted, and no request may be refused.

--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -354,7 +354,7 @@
     assert!(refused(&actions, 200), "{actions:?}");
 }
 
-/// Guards against a few replicas that turn requests away while the others have room: what is served elsewhere in
+/// Guards against replicas that turn some requests away while the others have room: what is served elsewhere in
 /// time is no reason to shed.
 #[test]
 fn what_is_served_elsewhere_in_time_is_no_reason_to_shed() {
@@ -365,7 +365,7 @@
         assert!(!refused(&actions, id), "request {id} after {turned_away}");
         for trial in 0.. {
             let Some(&(_, replica)) = sends(&actions).first() else { break };
-            if replica < 3 && trial < 2 && (id + trial) % 2 == 0 {
+            if trial < 2 && (u64::from(id) + replica).is_multiple_of(5) {
                 turned_away += 1;
                 actions = gateway.step(5_000, vec![ended(id, trial, Outcome::Full, false)]);
             } else {
@@ -374,7 +374,7 @@
             }
         }
     }
-    assert!(turned_away > 2, "{turned_away}");
+    assert!(turned_away > 20, "{turned_away}");
 }
 
 /// Guards against memory, and time spent, that grow with every replica there ever was.
