Calls at discovery after a failed one are spread by the number of routers

Seen in a test that drives a hundred modules: when discovery fails all their calls at one moment, 62 come back within 100 ms, as the first wait is 156 to 312 ms whatever the number of routers (policy.rs members). Change: the wait is at least 5 ms for each of the settings' instances, doubling with each failure, half of must-ask-in at most; three routers wait as before. The test bounds 100 ms to 40 calls and counts that each still asks in time.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,8 @@
 const ASK_PART: f64 = 1.0 / 16.0;
 /// What was seen of a replica counts as its present state for so many aims.
 const FRESH: f64 = 1.0;
+/// What each gateway's call at discovery is given of the time over which they are spread after a failure.
+const CALL: Dur = Dur(5_000);
 /// Part of the cold share that is used; the rest is for chance and for gateways' unequal traffic.
 const COLD_MARGIN: f64 = 0.5;
 
@@ -309,10 +311,11 @@
 
     fn members(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Error {
-            // a call failed or the subscription broke: ask again, ever later and never in step with others
-            // and soon at first: what it has to tell counts as told before long
+            // a call failed or the watch broke: ask again, soon at first, ever later, never in step with others
             self.ask_failures = (self.ask_failures + 1).min(5);
-            let most = (self.set.must_ask_in.0 / 64) << self.ask_failures;
+            // guards against all gateways' calls within one moment, at a service that is late already
+            let least = (self.set.must_ask_in.0 / 64).max(CALL.0 * u64::from(self.set.instances));
+            let most = (least << self.ask_failures).min(self.set.must_ask_in.0 / 2);
             self.ask_at = self.set.ask.then(|| self.now + Dur(self.rng.random_range(most / 2..=most)));
             return;
         }
@@ -701,8 +704,8 @@
         let request = self.requests.get(&id)?;
         let (arrival, left) = (request.arrival, (request.due - self.now).secs());
         let (choice, turn) = (request.choice.clone(), request.turn);
-        let ready = |k: &usize| self.replicas[*k].place.is_some();
-        if let Some(k) = turn.filter(ready).filter(|&k| self.replicas[k].used == 0.0) {
+        let ready = |r: &Replica| r.place.is_some() && r.used == 0.0;
+        if let Some(k) = turn.filter(|&k| ready(&self.replicas[k])) {
             let time = self.line_on(k).at(self.unread(&arrival, k) + self.replicas[k].waiting_tokens);
             if time / self.capacity(k) <= left && self.allowed(id, k) {
                 return Some(k);
@@ -802,11 +805,10 @@
 
     fn probed(&mut self, replica: ReplicaId, outcome: Outcome, report: Option<Report>) {
         let Some(&k) = self.index.get(&replica) else { return };
-        let replica = &mut self.replicas[k];
-        replica.sight.asked = Time(0);
         if outcome == Outcome::Ok {
-            replica.sight.take(report, &self.set.report, &mut self.means, self.now);
+            self.replicas[k].sight.take(report, &self.set.report, &mut self.means, self.now);
         } else {
+            self.replicas[k].sight.asked = Time(0);
             self.fault(k, 0.0);
         }
     }
@@ -1002,12 +1004,9 @@
     /// Asks to be woken when the next thing falls due.
     fn wake(&mut self, out: &mut Vec<Action>) {
         let (head, later) = (self.queue.first(), self.later.first());
-        let soon =
-            head.filter(|_| !self.mature.is_empty()).map(|_| self.now + Dur::from_secs(self.pace / 2.0));
-        let waits = self.now + Dur::from_secs(ASK_PART * self.admission.aim);
-        let waits = head.filter(|_| self.set.probes).map(|_| waits);
-        let next =
-            [self.ask_at, soon, waits, head.map(|h| h.0), later.filter(|_| head.is_some()).map(|l| l.0)];
+        let soon = Dur::from_secs((self.pace / 2.0).min(ASK_PART * self.admission.aim));
+        let soon = head.filter(|_| !self.mature.is_empty()).map(|_| self.now + soon);
+        let next = [self.ask_at, soon, head.map(|h| h.0), later.filter(|_| head.is_some()).map(|l| l.0)];
         let at = next.into_iter().flatten().min();
         let Some(at) = at.map(|t| t.max(self.now + self.set.period)) else { return };
         if self.timer.is_none_or(|t| t > at) {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -230,3 +230,31 @@
     }
     assert_eq!(sent, [1]);
 }
+
+/// Discovery fails all gateways' calls at the same moment: they come back spread, and ever fewer a second.
+#[test]
+fn calls_at_a_failing_discovery_are_spread_and_become_fewer() {
+    let set = Settings { ask: true, ..rules() };
+    let mut gateways: Vec<Gateway> = (0..u64::from(GATEWAYS))
+        .map(|seed| Gateway { balancer: stilespan::Balancer::new(set.clone(), seed, START), now: START })
+        .collect();
+    let failed = || vec![list(ListKind::Error, Vec::new())];
+    gateways.iter_mut().for_each(|g| drop(g.step(0, failed())));
+    // calls in each 100 ms; every one fails at once
+    let mut calls = [0; 200];
+    for tick in 0..2_000 {
+        for gateway in &mut gateways {
+            let watches = |a: &[Action]| a.iter().filter(|a| **a == Action::Watch).count();
+            let asked = watches(&gateway.step(10_000, vec![Event::Timer { mark: 0 }]));
+            calls[tick / 10] += asked;
+            if asked > 0 {
+                gateway.step(0, failed());
+            }
+        }
+    }
+    let most = calls.iter().max().unwrap();
+    assert!(*most <= 40, "{most} calls within 100 ms");
+    let late: usize = calls[100..].iter().sum();
+    // each asks again within half of the time after which it counts as told
+    assert!((200..=400).contains(&late), "{late} calls in the last 10 s");
+}
