--- a/src/policy.rs
+++ b/src/policy.rs
@@ -311,7 +311,7 @@
 
     fn members(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Error {
-            // a call failed or the watch broke: ask again, soon at first, ever later, never in step with others
+            // a call failed or the watch broke: ask again, soon at first, ever later, never in step
             self.ask_failures = (self.ask_failures + 1).min(5);
             // guards against all gateways' calls within one moment, at a service that is late already
             let least = (self.set.must_ask_in.0 / 64).max(CALL.0 * u64::from(self.set.instances));
