A request that no server may take where all are cold is refused at once

Need: what is given up is answered at once. Seen on reading again: where all servers are cold, a request whose draw gave it no turn was held until it was hopeless, though nothing but a new list could help it (policy.rs served). Change: served() looks for a warm server with the model or the one of the request's turn, on arrival, after a failed attempt and with a new list.

--- a/src/open.rs
+++ b/src/open.rs
@@ -37,6 +37,17 @@
 }
 
 impl Request {
+    /// One that has just come, with its aim's end and its own.
+    pub(crate) fn new(
+        arrival: Arrival,
+        (due, expires): (Time, Time),
+        turn: Option<usize>,
+        now: Time,
+    ) -> Request {
+        let (attempts, choice) = (Vec::new(), Vec::new());
+        Request { arrival, due, expires, owed: true, attempts, turn, choice, asked: now, rounds: 0 }
+    }
+
     pub(crate) fn in_flight(&self) -> bool {
         self.attempts.iter().any(|a| !matches!(a.phase, Phase::Over { .. }))
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -345,15 +345,20 @@
         // guards against waiting for a model that has left the list: another may still be in time
         let held: Vec<RequestId> = self.queue.iter().map(|q| q.1).collect();
         for id in held {
-            if !self.served(self.requests[&id].arrival.model) {
+            if !self.served(id) {
                 self.end(id, out);
             }
         }
     }
 
-    /// Whether a model is to be had; any is taken to be, for the list may still come.
-    fn served(&self, model: u32) -> bool {
-        model == 0 || self.replicas.iter().any(|r| r.usable() && r.entry.models.ready_in(model).is_some())
+    /// Whether a request can be had somewhere: at a warm replica with its model, or at the cold one that it
+    /// has a turn at. Guards against one kept waiting for nothing. Before a list has come any is taken to be.
+    fn served(&self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let model = request.arrival.model;
+        let has = |r: &Replica| r.usable() && r.entry.models.ready_in(model).is_some();
+        let mut some = (0..self.replicas.len()).filter(|&k| has(&self.replicas[k])).peekable();
+        (model == 0 && some.peek().is_none()) || some.any(|k| !self.cold(k) || request.turn == Some(k))
     }
 
     fn member(&mut self, entry: &Entry) {
@@ -476,22 +481,12 @@
         let worth = if arrival.repeat { REPEAT } else { 1.0 } * c.worth;
         let worth = worth * self.admission.share_worth(&self.set, arrival.tenant as usize, self.now);
         let turn = self.turn();
-        let request = Request {
-            arrival,
-            due,
-            expires,
-            owed: true,
-            attempts: Vec::new(),
-            turn,
-            choice: Vec::new(),
-            rounds: 0,
-            asked: self.now,
-        };
+        let request = Request::new(arrival, (due, expires), turn, self.now);
         self.requests.insert(arrival.request, request);
         self.hold(arrival.request);
         let admission = self.admission.of(arrival.model, &self.set, self.now);
         let admitted = admission.admits(worth / work, self.rng.random(), self.now);
-        if !admitted || !self.served(arrival.model) {
+        if !admitted || !self.served(arrival.request) {
             self.end(arrival.request, out);
         }
     }
@@ -989,6 +984,9 @@
                 let turn = self.turn();
                 self.requests.entry(id).and_modify(|r| (r.turn, r.rounds) = (turn, 0));
                 self.hold(id);
+                if !self.served(id) {
+                    self.end(id, out);
+                }
             } else {
                 // guards against replicas that turn some away, while others have room: what is served
                 // elsewhere in time is no miss, and no reason to shed
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -117,7 +117,8 @@
 }
 
 /// A fleet that is all cold, and one with a single warm replica left, met by gateways that have sent nothing:
-/// together they stay under the rule, and each request is sent, refused or still in time.
+/// together they stay under the rule, and each request is sent or refused, at once where
+/// no warm replica is left to wait for.
 #[rstest]
 #[case::all_cold(0)]
 #[case::one_warm(1)]
@@ -130,6 +131,10 @@
     let most = fleet.most(Dur(1_500_000), |to| to >= warm);
     assert!((most as f64) <= rule, "{most} sends to one cold replica, {rule} allowed");
     assert!(fleet.sent.len() >= 30, "{} sends", fleet.sent.len());
+    if warm == 0 {
+        // what has no turn is answered at once, not when its time runs out
+        assert_eq!(fleet.sent.len() + fleet.ended, GATEWAYS as usize);
+    }
     for _ in 0..4 {
         for k in 0..fleet.gateways.len() {
             let now = fleet.gateways[k].now + Dur(500_000);
