Tests for servers that answer no probe, for a second draw and for a failed probe

Cause: each line that a new test guards was broken in turn. Two stayed unnoticed (a failed probe that puts a server off, a second three drawn where none answered), one was noticed by 9 sends where 8 are allowed. Change: two tests in tests/fleet.rs; broken again each fails by far (60 sends to silent servers for none). Code is untouched. Not guarded by a test: that a repeat draws its turn anew.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -194,6 +194,52 @@
     assert!(slow <= 8, "{slow} of 160 sends to replicas that are slow or gone");
 }
 
+/// Sends of one request, of a gateway that knows nothing, to replicas below `silent`, which answer no probe.
+fn sent_to_silent(silent: u64, replicas: u64) -> usize {
+    let mut to_silent = 0;
+    for seed in 0..200 {
+        let balancer = stilespan::Balancer::new(probing(), seed, START);
+        let mut gateway = Gateway { balancer, now: START };
+        gateway.step(0, vec![list(ListKind::Persisted, (0..replicas).map(entry).collect())]);
+        let mut actions = gateway.ask(1_000, arrival(1));
+        for _ in 0..100 {
+            to_silent += sends(&actions).iter().filter(|s| s.1 < silent).count();
+            let report = Some([0.0, 4.0, 0.1, 0.1]);
+            let answers = probes(&actions).into_iter().filter(|&k| k >= silent);
+            let answers = answers.map(|k| told(k, Outcome::Ok, report));
+            let events = answers.chain([Event::Timer { mark: 0 }]).collect();
+            actions = gateway.step(2_000, events);
+        }
+    }
+    to_silent
+}
+
+/// A lost zone, silent: a request goes there only where neither three nor three more have answered.
+#[test]
+fn a_request_keeps_away_from_replicas_that_answer_no_probe() {
+    // one in three silent: never six of them
+    assert_eq!(sent_to_silent(4, 12), 0);
+    // three in four: all three of a draw in 38 of 100, both times in 15
+    let most = sent_to_silent(9, 12);
+    assert!(most <= 50, "{most} of 200 requests sent to a silent replica");
+}
+
+/// A replica whose probe failed is left alone for a while: no probe for each request that comes meanwhile.
+#[test]
+fn a_failed_probe_puts_a_replica_off() {
+    let mut gateway = Gateway { balancer: stilespan::Balancer::new(probing(), 1, START), now: START };
+    gateway.step(0, vec![list(ListKind::Persisted, (0..3).map(entry).collect())]);
+    assert_eq!(probes(&gateway.ask(1_000, arrival(1))).len(), 3);
+    let good = Some([0.0, 4.0, 0.1, 0.1]);
+    let events =
+        vec![told(0, Outcome::Ok, good), told(1, Outcome::Ok, good), told(2, Outcome::ConnectFailed, None)];
+    gateway.step(2_000, events);
+    for id in 2..6 {
+        let actions = gateway.ask(2_000, arrival(id));
+        assert!(!probes(&actions).contains(&2), "request {id}: {actions:?}");
+    }
+}
+
 /// A beginning that all sessions share draws nobody's requests to one replica: all gateways would look there.
 #[test]
 fn a_shared_beginning_does_not_gather_all_gateways_at_one_replica() {
