Operators' address with figures, bans of model servers and drain

net/admin.rs is the thin front, upkeep.rs carries calls out, ops/figures.rs counts, ops/bans.rs overlays resolver results in the core, listener.rs empties a drained router. An attempt that has not begun at a banned server is taken back.

--- a/src/batch/jobs.rs
+++ b/src/batch/jobs.rs
@@ -593,6 +593,7 @@
                             Some(Piece::Data(bytes)) => all.add(&bytes),
                             Some(Piece::Done) => break,
                             Some(Piece::Broken) | None => {
+                                ticket.broken();
                                 let message = "the answer broke off; it may have run";
                                 return Err(LineError::new("answer_broken", message));
                             }
--- a/src/config.rs
+++ b/src/config.rs
@@ -40,6 +40,8 @@
     pub name: String,
     /// Where clients connect; none where the platform's front is off.
     pub listen: Option<String>,
+    /// Where operators call; none where that is off.
+    pub admin: Option<String>,
     /// Discovery's address; none where the hosts come from an inventory.
     pub discovery: Option<String>,
     /// The seed of random numbers.
@@ -80,6 +82,7 @@
     #[serde(default)]
     name: String,
     listen: Option<String>,
+    admin: Option<String>,
     discovery: Option<String>,
     #[serde(default)]
     seed: String,
@@ -123,6 +126,7 @@
         let mut config = Config::reload(path)?;
         config.name = var("GW_NAME").unwrap_or(config.name);
         config.listen = var("GW_LISTEN").or(config.listen);
+        config.admin = var("GW_ADMIN").or(config.admin);
         config.discovery = var("GW_DISCOVERY").or(config.discovery);
         Ok(config)
     }
@@ -157,6 +161,7 @@
         Ok(Config {
             name: raw.name,
             listen: raw.listen,
+            admin: raw.admin.filter(|at| !at.is_empty()),
             discovery: raw.discovery,
             seed: seed(&raw.seed),
             sockets: raw.limits.sockets,
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -4,21 +4,24 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rustc_hash::FxHashMap;
 use tokio::sync::{mpsc, oneshot};
-use tracing::{debug, trace, warn};
+use tracing::{debug, info, trace, warn};
 
 use super::table::{Open, Out};
 use super::{
     Answer, Attempt, AttemptId, Connector, Ending, Facts, Handle, Host, ListOrder, Load, MAILBOX, Mail,
-    Order, Resolved, Rpc,
+    Maintenance, Order, Resolved, Rpc,
 };
 use crate::Balancer;
 use crate::interface::{
     Action, Arrival, Dur, Entry, Event, ListKind, Outcome, ReplicaId, RequestId, Settings, State, Time,
 };
+use crate::ops::bans::{Ban, Bans};
+use crate::ops::figures::Figures;
 
 /// The module is told of an expiry so much earlier: its last answer still has to be written and to travel.
 const GUARD: Dur = Dur(10_000);
@@ -26,6 +29,10 @@
 const LAST: Dur = Dur(3_000);
 /// Mail taken in before a step at the most, so that a flood can't put the step off.
 const GULP: usize = 512;
+/// Operators' orders that wait for the actor at the most.
+const ORDERS: usize = 16;
+/// How often the figures of the fleet are told anew while there is something to decide.
+const TELL: Duration = Duration::from_millis(100);
 
 /// The machine's clock as the module reads it: Unix time that never runs backwards.
 #[derive(Clone, Copy, Debug)]
@@ -81,8 +88,15 @@
     pub connector: Box<dyn Connector>,
     /// The list's actor.
     pub resolver: mpsc::Sender<ListOrder>,
+    /// Bans that were in force before this process.
+    pub bans: Vec<(ReplicaId, Ban)>,
+    /// The figures of the fleet and of the RPCs.
+    pub figures: Arc<Figures>,
 }
 
+/// An order that was carried out, and what to answer once the module has been told.
+type Done = (oneshot::Sender<Option<Vec<Ban>>>, Option<Vec<Ban>>);
+
 /// The module's actor.
 pub struct Core {
     balancer: Balancer,
@@ -93,6 +107,13 @@
     connector: Box<dyn Connector>,
     resolver: mpsc::Sender<ListOrder>,
     mail: mpsc::Receiver<Mail>,
+    orders: mpsc::Receiver<Maintenance>,
+    orders_to: mpsc::Sender<Maintenance>,
+    done: Vec<Done>,
+    bans: Bans,
+    figures: Arc<Figures>,
+    /// When the figures of the fleet were last told; none when they are to be told with the next step.
+    told: Option<Instant>,
     subchannels: FxHashMap<ReplicaId, Subchannel>,
     rpcs: FxHashMap<RequestId, Open>,
     load: Arc<Load>,
@@ -107,6 +128,7 @@
     pub fn new(parts: Parts) -> (Core, mpsc::Sender<Mail>) {
         let clock = Clock::start();
         let (mail_to, mail) = mpsc::channel(MAILBOX);
+        let (orders_to, orders) = mpsc::channel(ORDERS);
         let core = Core {
             period: Duration::from_micros(parts.settings.period.0),
             max_attempts: parts.settings.max_attempts,
@@ -116,6 +138,12 @@
             connector: parts.connector,
             resolver: parts.resolver,
             mail,
+            orders,
+            orders_to,
+            done: Vec::new(),
+            bans: Bans::new(parts.bans),
+            figures: parts.figures,
+            told: None,
             subchannels: FxHashMap::default(),
             rpcs: FxHashMap::default(),
             load: Arc::default(),
@@ -130,7 +158,8 @@
     /// Starts the actor on this thread's runtime.
     pub fn start(parts: Parts) -> (Handle, mpsc::Sender<Mail>) {
         let (core, mail) = Core::new(parts);
-        let handle = Handle::new(mail.clone(), core.load.clone());
+        let handle =
+            Handle::new(mail.clone(), core.orders_to.clone(), core.load.clone(), core.figures.clone());
         tokio::spawn(core.run());
         (handle, mail)
     }
@@ -144,6 +173,8 @@
             let next = self.due.peek().map(|Reverse((at, _))| self.clock.instant(*at));
             let wake = tokio::time::sleep_until(next.unwrap_or(stepped + Duration::from_secs(60)).into());
             tokio::select! {
+                biased;
+                Some(order) = self.orders.recv() => self.maintain(order),
                 mail = self.mail.recv() => match mail {
                     Some(mail) => self.take(mail),
                     None => return,
@@ -152,6 +183,9 @@
             }
             // no oftener than the settings allow
             tokio::time::sleep_until((stepped + self.period).into()).await;
+            while let Ok(order) = self.orders.try_recv() {
+                self.maintain(order);
+            }
             for _ in 0..GULP {
                 let Ok(mail) = self.mail.try_recv() else { break };
                 self.take(mail);
@@ -161,6 +195,45 @@
             if !self.events.is_empty() {
                 self.step(stepped);
             }
+            for (to, answer) in self.done.drain(..) {
+                let _ = to.send(answer);
+            }
+        }
+    }
+
+    /// Carries an operator's order out: the module sees the server as the overlay has it from the next step on.
+    fn maintain(&mut self, order: Maintenance) {
+        let Maintenance { replica, name, leave_out, known, done } = order;
+        if !known && !self.bans.knows(replica) {
+            return self.done.push((done, None));
+        }
+        let at = Instant::now();
+        let now = self.clock.at(at);
+        let seen = match leave_out {
+            true => self.bans.leave_out(replica, &name, now),
+            false => self.bans.put_back(replica, now),
+        };
+        info!("{name}: {}", if leave_out { "left out" } else { "put back" });
+        if let Some(entry) = seen {
+            self.events.push(Event::Members { kind: ListKind::Partial, entries: Arc::new([entry]) });
+        }
+        if leave_out {
+            self.take_back(replica, at);
+        }
+        self.told = None;
+        self.done.push((done, Some(self.bans.kept())));
+    }
+
+    /// Takes back the call attempts at a server that have not begun: they never ran, and may go elsewhere.
+    fn take_back(&mut self, replica: ReplicaId, at: Instant) {
+        let waits = |out: &Out| out.replica == replica && !out.begun.load(Ordering::Relaxed);
+        let here = self.rpcs.iter().filter(|(_, open)| open.out.as_ref().is_some_and(waits));
+        let here: Vec<RequestId> = here.map(|(id, _)| *id).collect();
+        for request in here {
+            if let Some(out) = self.rpcs.get_mut(&request).and_then(|open| open.out.take()) {
+                self.over(request, out, Outcome::ConnectFailed.into(), at);
+                self.sweep(request);
+            }
         }
     }
 
@@ -261,8 +334,11 @@
         self.sweep(request);
     }
 
-    fn resolved(&mut self, resolved: Resolved) {
+    fn resolved(&mut self, mut resolved: Resolved) {
         debug!("resolver result: {:?}, {} hosts", resolved.kind, resolved.hosts.len());
+        let entries = resolved.hosts.iter_mut().map(|host| &mut host.entry);
+        self.bans.overlay(resolved.kind, entries, self.clock.at(Instant::now()));
+        self.told = None;
         if resolved.kind != ListKind::Partial && resolved.kind != ListKind::Error {
             self.load.listed();
             // a subchannel whose mailbox is dropped finishes what it holds
@@ -354,6 +430,10 @@
         let now = self.clock.at(at);
         self.balancer.step(now, &self.events, &mut self.actions);
         self.events.clear();
+        if self.told.is_none_or(|told| at.saturating_duration_since(told) >= TELL) {
+            self.told = Some(at);
+            self.figures.fleet(self.bans.listed(), self.balancer.avoided());
+        }
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
             self.carry_out(action, at, now);
@@ -416,7 +496,8 @@
         let (hold, called_off) = oneshot::channel();
         let expires = Time(open.expires.0.saturating_sub(GUARD.0));
         let until = give_up.map_or(expires, |d| (now + d).min(expires));
-        let out = Out { trial, replica, since: at, until: Some(until), _hold: hold };
+        let begun = Arc::<AtomicBool>::default();
+        let out = Out { trial, replica, since: at, until: Some(until), begun: begun.clone(), _hold: hold };
         // guards against a second copy, an attempt too many and one that nobody waits for
         let moot = open.out.is_some() || open.answer.is_none() || spent >= self.max_attempts || until <= now;
         let payload = open.payload.clone();
@@ -426,7 +507,7 @@
         }
         open.out = Some(out);
         let deadline = self.clock.instant(until);
-        let attempt = Attempt { id: AttemptId { request, trial }, payload, deadline, called_off };
+        let attempt = Attempt { id: AttemptId { request, trial }, payload, deadline, begun, called_off };
         let sent = self.subchannels.get(&replica).map(|s| s.orders.try_send(Order::Attempt(attempt)).is_ok());
         if sent == Some(true) {
             self.due.push(Reverse((until, Due::Attempt(request, trial))));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::interface::{Entry, ListKind, Outcome, ReplicaId, Report, RequestId};
+use crate::ops::bans::Ban;
+use crate::ops::figures::{End, Figures, Taken};
 
 /// Pieces of an answer that wait for a slow client at the most; the subchannel's connection then waits too.
 pub const PIECES: usize = 16;
@@ -244,6 +246,8 @@
     pub payload: Payload,
     /// When the router stops waiting for its first piece.
     pub deadline: Instant,
+    /// Set once its first byte is about to be written: from then on it can't be taken back.
+    pub begun: Arc<AtomicBool>,
     /// Closes when the attempt is called off.
     pub called_off: oneshot::Receiver<()>,
 }
@@ -263,11 +267,28 @@
     Move(String),
 }
 
+/// An operator's order about a model server. Orders have a mailbox of their own, ahead of clients' mail.
+#[derive(Debug)]
+pub struct Maintenance {
+    /// Which one.
+    pub replica: ReplicaId,
+    /// Its name.
+    pub name: String,
+    /// Leave it out, or put it back.
+    pub leave_out: bool,
+    /// Whoever gave the order knows the server, so nobody here need ever have listed it.
+    pub known: bool,
+    /// Answered once the order is carried out: the bans in force from then on; none for a server never listed.
+    pub done: oneshot::Sender<Option<Vec<Ban>>>,
+}
+
 /// A front's way to the module's actor.
 #[derive(Clone, Debug)]
 pub struct Handle {
     mail: mpsc::Sender<Mail>,
+    orders: mpsc::Sender<Maintenance>,
     load: Arc<Load>,
+    figures: Arc<Figures>,
 }
 
 /// The module's actor has ended.
@@ -284,8 +305,33 @@
 
 impl Handle {
     /// A way to the actor behind this mailbox.
-    pub fn new(mail: mpsc::Sender<Mail>, load: Arc<Load>) -> Handle {
-        Handle { mail, load }
+    pub fn new(
+        mail: mpsc::Sender<Mail>,
+        orders: mpsc::Sender<Maintenance>,
+        load: Arc<Load>,
+        figures: Arc<Figures>,
+    ) -> Handle {
+        Handle { mail, orders, load, figures }
+    }
+
+    /// The figures that RPCs are counted in.
+    pub fn figures(&self) -> &Arc<Figures> {
+        &self.figures
+    }
+
+    /// Leaves a model server out or puts it back; done once the actor has carried it out. `None` for a server that no
+    /// list has ever named, unless it is said to be known.
+    pub async fn maintain(
+        &self,
+        replica: ReplicaId,
+        name: &str,
+        leave_out: bool,
+        known: bool,
+    ) -> Result<Option<Vec<Ban>>, Closed> {
+        let (done, carried_out) = oneshot::channel();
+        let order = Maintenance { replica, name: name.to_string(), leave_out, known, done };
+        self.orders.send(order).await.map_err(|_| Closed)?;
+        carried_out.await.map_err(|_| Closed)
     }
 
     /// How busy the core is.
@@ -295,10 +341,11 @@
 
     /// Submits an RPC. Dropping the ticket before the answer's end tells the module that the client has gone.
     pub async fn submit(&self, rpc: Rpc) -> Result<Ticket, Closed> {
+        let taken = self.figures.take(rpc.facts.class);
         let (answer_to, answer) = oneshot::channel();
         let (id_to, id) = oneshot::channel();
         self.mail.send(Mail::Submit(rpc, answer_to, id_to)).await.map_err(|_| Closed)?;
-        Ok(Ticket { answer, id: Some(id), mail: self.mail.clone() })
+        Ok(Ticket { answer, id: Some(id), mail: self.mail.clone(), taken, whole: End::Answered })
     }
 }
 
@@ -308,16 +355,31 @@
     answer: oneshot::Receiver<Answer>,
     id: Option<oneshot::Receiver<RequestId>>,
     mail: mpsc::Sender<Mail>,
+    taken: Taken,
+    /// What it counts as once its answer has been passed on whole.
+    whole: End,
 }
 
 impl Ticket {
     /// Waits for the answer. Cancel safe.
     pub async fn answer(&mut self) -> Answer {
-        (&mut self.answer).await.unwrap_or(Answer::Failed { sent: true, attempts: u32::MAX })
+        let answer = (&mut self.answer).await.unwrap_or(Answer::Failed { sent: true, attempts: u32::MAX });
+        self.whole = match answer {
+            Answer::Started(_) => End::Answered,
+            Answer::Refused { .. } => End::Deferred,
+            Answer::Failed { .. } => End::Errored,
+        };
+        answer
+    }
+
+    /// The answer broke off, and its client has been told so.
+    pub fn broken(mut self) {
+        self.taken.ends(End::Errored);
     }
 
     /// The answer has been passed on whole: nobody has gone.
     pub fn finish(mut self) {
+        self.taken.ends(self.whole);
         self.id = None;
     }
 }
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -1,5 +1,7 @@
 //! The RPC table: which RPCs are open and where each one's call attempts stand.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Instant;
 
 use tokio::sync::oneshot;
@@ -18,6 +20,8 @@
     pub since: Instant,
     /// When the router stops waiting; none once it has begun to answer.
     pub until: Option<Time>,
+    /// Set once its first byte is about to be written.
+    pub begun: Arc<AtomicBool>,
     /// Dropped to call it off.
     pub _hold: oneshot::Sender<()>,
 }
--- a/src/edge/service.rs
+++ b/src/edge/service.rs
@@ -444,7 +444,7 @@
         };
         self.account.settle(used);
         if let Some(ticket) = self.ticket.take() {
-            if end == Part::Done { ticket.finish() } else { drop(ticket) }
+            if end == Part::Done { ticket.finish() } else { ticket.broken() }
         }
         self.end = Some(end);
     }
--- a/src/error.rs
+++ b/src/error.rs
@@ -12,6 +12,8 @@
     Config(ConfigError),
     /// An address can't be listened on.
     Listen(String, std::io::Error),
+    /// The operators' address can't be listened on.
+    Admin(String, std::io::Error),
     /// The spool can't be used.
     Spool(PathBuf, StoreError),
     /// The runtime or the signals can't be set up.
@@ -23,6 +25,9 @@
         match self {
             RunError::Config(e) => write!(out, "{e}"),
             RunError::Listen(address, e) => write!(out, "can't listen on {address}: {e}"),
+            RunError::Admin(address, e) => {
+                write!(out, "can't listen on {address}, the operators' address: {e}")
+            }
             RunError::Spool(path, e) => write!(out, "{}: {e}", path.display()),
             RunError::System(e) => write!(out, "{e}"),
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,12 +23,14 @@
 mod memory;
 pub mod net;
 mod open;
+pub mod ops;
 pub mod policy;
 pub mod router;
 pub mod routing;
 pub mod sight;
 pub mod spend;
 pub mod traces;
+pub mod upkeep;
 pub mod wire;
 
 pub use policy::Balancer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -173,6 +173,7 @@
         config.localities.join(", ")
     );
     println!("platform's front: {}", config.listen.as_deref().unwrap_or("off"));
+    println!("operators' address: {}", config.admin.as_deref().unwrap_or("off"));
     match batch {
         Some(batch) => println!("batch front: {}, spool {}", batch.listen, batch.spool.display()),
         None => println!("batch front: off"),
--- a/src/net/channel.rs
+++ b/src/net/channel.rs
@@ -68,6 +68,16 @@
     Bad(Reply),
 }
 
+/// What passing an answer on came to.
+enum Passed {
+    /// All of it, and whether the channel can be used again.
+    Whole(bool),
+    /// It broke off.
+    Broken,
+    /// Its client went.
+    Gone,
+}
+
 /// Serves one client's connection to its end.
 pub async fn run(front: Arc<Front>, peer: Peer) {
     let mut channel = Channel { front, peer };
@@ -110,7 +120,7 @@
             self.peer.whole(&mut body, MAX_BODY, &bodies).await?;
             self.peer.arrived();
             // the platform's front sends clients from the first 200 on
-            let ready = self.front.core.load().ready() && !self.peer.ending();
+            let ready = self.front.core.load().ready() && !self.peer.leaving();
             let reply = match ready {
                 true => Reply::new(200, "OK", "ready"),
                 false => Reply::new(503, "Service Unavailable", "not ready"),
@@ -145,13 +155,17 @@
             () = self.peer.gone() => return Ok(Done::Over),
         };
         match answer {
-            Answer::Started(pieces) => {
-                let kept = self.pass_on(pieces, close).await?;
-                if kept.is_some() {
+            Answer::Started(pieces) => match self.pass_on(pieces, close).await? {
+                Passed::Whole(kept) => {
                     ticket.finish();
+                    Ok(if kept { Done::Keep } else { Done::Over })
                 }
-                Ok(if kept == Some(true) { Done::Keep } else { Done::Over })
-            }
+                Passed::Broken => {
+                    ticket.broken();
+                    Ok(Done::Over)
+                }
+                Passed::Gone => Ok(Done::Over),
+            },
             Answer::Refused { retry_in, .. } => {
                 ticket.finish();
                 let refused = Reply::new(503, "Service Unavailable", "refused; trying again is harmless");
@@ -215,14 +229,9 @@
         Ok((facts, id))
     }
 
-    /// Passes an answer's pieces on as they come. Whole: whether the channel can be used again. Broken: none,
-    /// and the connection ends without the last chunk.
-    async fn pass_on(
-        &mut self,
-        mut pieces: mpsc::Receiver<Piece>,
-        close: bool,
-    ) -> Result<Option<bool>, HttpError> {
-        let close = close || self.peer.ending();
+    /// Passes an answer's pieces on as they come. Where it breaks the connection ends without the last chunk.
+    async fn pass_on(&mut self, mut pieces: mpsc::Receiver<Piece>, close: bool) -> Result<Passed, HttpError> {
+        let close = close || self.peer.leaving();
         let mut out = BytesMut::new();
         out.put_slice(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
@@ -232,7 +241,7 @@
             let piece = tokio::select! {
                 biased;
                 piece = pieces.recv() => piece.unwrap_or(Piece::Broken),
-                () = self.peer.gone() => return Ok(None),
+                () = self.peer.gone() => return Ok(Passed::Gone),
             };
             // what else has come by now goes out with it, in one write
             let mut next = Some(piece);
@@ -246,9 +255,9 @@
                     }
                     Piece::Done => {
                         out.put_slice(b"0\r\n\r\n");
-                        end = Some(Some(!close));
+                        end = Some(Passed::Whole(!close));
                     }
-                    Piece::Broken => end = Some(None),
+                    Piece::Broken => end = Some(Passed::Broken),
                 }
                 next = if end.is_some() { None } else { pieces.try_recv().ok() };
             }
@@ -261,7 +270,7 @@
     }
 
     async fn reply(&mut self, reply: &Reply, close: bool) -> Result<Done, HttpError> {
-        let close = close || self.peer.ending();
+        let close = close || self.peer.leaving();
         let Reply { status, reason, retry_in, text } = reply;
         let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\n");
         if let Some(wait) = retry_in {
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -13,6 +13,7 @@
 
 use super::budget::{Budget, IdleMark, Permit};
 use super::http::{self, Body, Buffer, Head, HttpError};
+use crate::upkeep::Drained;
 
 /// How long a front waits for what its clients owe it.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +31,11 @@
 /// A connection whose request isn't here whole by then is closed. Guards against a request that comes so late
 /// that there is no time left to answer it before the platform ends the program.
 const LAST_CALL: Duration = Duration::from_millis(600);
+/// A drained router closes idle connections so long after the call: until then the platform's front, which asks for
+/// its health now and then, may still send clients.
+const EMPTY: Duration = Duration::from_millis(500);
+/// A drained router gives up requests that are not here whole by then, so that none is young when it must be empty.
+const EMPTY_CALL: Duration = Duration::from_millis(1800);
 /// What a client goes on writing after its last answer is read for so long.
 const DRAIN: Duration = Duration::from_secs(1);
 /// How often a client that has written far ahead is looked at for its end.
@@ -44,6 +50,8 @@
     pub ending: watch::Receiver<bool>,
     /// When that was seen first.
     pub since: Arc<OnceLock<Instant>>,
+    /// Since when the router is drained.
+    pub drained: watch::Receiver<Drained>,
 }
 
 impl Shared {
@@ -53,6 +61,19 @@
         let since = *self.since.get_or_init(Instant::now);
         tokio::time::sleep_until((since + long).into()).await;
     }
+
+    /// Waits until the router has been drained for so long, and as long has passed since a new connection's opening.
+    async fn emptied(&mut self, opened: Option<Instant>, long: Duration) {
+        loop {
+            let drained = self.drained.wait_for(Option::is_some).await.ok().and_then(|since| *since);
+            // nobody can drain it any more
+            let Some(since) = drained else { return std::future::pending().await };
+            tokio::select! {
+                () = tokio::time::sleep_until((opened.map_or(since, |at| at.max(since)) + long).into()) => return,
+                _ = self.drained.wait_for(Option::is_none) => {}
+            }
+        }
+    }
 }
 
 /// A client's connection.
@@ -149,6 +170,11 @@
         *self.shared.ending.borrow()
     }
 
+    /// Whether the connection is to end after the answer under way, and new clients are to go elsewhere.
+    pub fn leaving(&self) -> bool {
+        self.ending() || self.shared.drained.borrow().is_some()
+    }
+
     /// Waits for a request's head. While none has begun the connection is idle, and may be closed; while one
     /// arrives it may be closed too, and is once it is late. Guards against clients that connect in their
     /// hundreds and say nothing, or never finish.
@@ -156,6 +182,7 @@
         let mut shared = self.shared.clone();
         let mut mark = self.shared.budget.idle();
         let opened = self.opened.take();
+        let mut drained = shared.clone();
         if self.buffer.is_empty() {
             let idle = opened.unwrap_or_else(Instant::now) + self.patience.idle;
             tokio::select! {
@@ -165,6 +192,7 @@
                 },
                 () = mark.evicted() => return Next::Closed,
                 () = shared.after_end(LAST_CALL) => return Next::Closed,
+                () = drained.emptied(opened, EMPTY) => return Next::Closed,
                 () = tokio::time::sleep_until(idle.into()) => return Next::Closed,
             }
         }
@@ -187,13 +215,16 @@
     /// Reads more of a request that arrives. Cancel safe.
     async fn more(&mut self) -> Result<(), HttpError> {
         let mut shared = self.shared.clone();
+        let mut drained = shared.clone();
         let Some((mark, until)) = &mut self.arriving else { return Err(HttpError::Ended) };
+        let began = until.checked_sub(self.patience.arriving).unwrap_or(*until);
         tokio::select! {
             biased;
             read = self.buffer.fill(&mut self.stream) => if read? > 0 { Ok(()) } else { Err(HttpError::Ended) },
             () = mark.evicted() => Err(HttpError::Ended),
             () = tokio::time::sleep_until((*until).into()) => Err(HttpError::Late),
             () = shared.after_end(LAST_CALL) => Err(HttpError::Late),
+            () = drained.emptied(Some(began), EMPTY_CALL) => Err(HttpError::Late),
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The network: everything that knows sockets and HTTP. Modules go by peer.
 
+pub mod admin;
 pub mod budget;
 pub mod channel;
 pub mod http;
--- a/src/net/subchannel.rs
+++ b/src/net/subchannel.rs
@@ -2,6 +2,7 @@
 //! call attempts and probes. Every send is a call attempt that the module ordered; nothing is sent again here.
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,7 @@
 use super::http::{self, Body, Buffer, Framing, Head, HttpError};
 use crate::core::{Attempt, AttemptId, Connector, Ending, Host, Mail, Order, PIECES, Payload, Piece};
 use crate::interface::{Outcome, ReplicaId, Report};
+use crate::ops::figures::Figures;
 
 /// A probe's time-out.
 const PROBE: Duration = Duration::from_millis(400);
@@ -50,6 +52,8 @@
     pub options: Options,
     /// The budget of sockets.
     pub budget: Budget,
+    /// Counts call attempts that were written.
+    pub figures: Arc<Figures>,
     /// The module's mailbox, once there is one.
     pub mail: Arc<std::sync::OnceLock<mpsc::Sender<Mail>>>,
 }
@@ -63,6 +67,7 @@
                 address: host.address.clone(),
                 options: self.options.clone(),
                 budget: self.budget.clone(),
+                figures: self.figures.clone(),
                 mail: mail.clone(),
                 pool: Mutex::default(),
             };
@@ -101,6 +106,7 @@
     address: String,
     options: Options,
     budget: Budget,
+    figures: Arc<Figures>,
     mail: mpsc::Sender<Mail>,
     pool: Mutex<Pool>,
 }
@@ -132,12 +138,12 @@
 
     /// Makes a call attempt, and tells the module how it ended.
     async fn attempt(self: Arc<Self>, attempt: Attempt) {
-        let Attempt { id, payload, deadline, called_off } = attempt;
+        let Attempt { id, payload, deadline, begun, called_off } = attempt;
         let ending = tokio::select! {
             biased;
             // the module has the outcome already; dropping the other branch closes the connection
             _ = called_off => return trace!("attempt {id:?} called off"),
-            ending = self.call(id, payload, deadline) => ending,
+            ending = self.call(id, payload, deadline, &begun) => ending,
         };
         if let Some((ending, end)) = ending {
             let _ = self.mail.send(Mail::Ended(id, Instant::now(), ending)).await;
@@ -152,6 +158,7 @@
         id: AttemptId,
         payload: Payload,
         deadline: Instant,
+        begun: &AtomicBool,
     ) -> Option<(Ending, Option<(mpsc::Sender<Piece>, Piece)>)> {
         let over = |outcome: Outcome| Some((Ending::from(outcome), None));
         let Some(mut connection) = self.connect().await else { return over(Outcome::ConnectFailed) };
@@ -161,10 +168,12 @@
         let rest = format!("Host: {}\r\nX-Expires-In-Ms: {left}\r\n\r\n", self.address);
         message.extend_from_slice(rest.as_bytes());
         message.extend_from_slice(&payload.body);
+        begun.store(true, Ordering::Relaxed);
         if let Err(e) = connection.stream.write_all(&message).await {
             debug!("{}: broke within a request: {e}", self.address);
             return over(Outcome::ConnectFailed);
         }
+        self.figures.sent();
         drop((message, payload));
         let head = match http::read_answer_head(&mut connection.buffer, &mut connection.stream).await {
             Ok(head) => head,
--- /dev/null
+++ b/src/ops/figures.rs
@@ -0,0 +1,197 @@
+//! The figures that operators read: counted where things happen, read without asking anybody.
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// How an RPC ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served: passed on whole.
+    Answered,
+    /// Refused: a repeat is harmless.
+    Deferred,
+    /// Failed, or broken off after it had begun.
+    Errored,
+    /// Its client went first.
+    Gone,
+}
+
+/// The states in their order, as they are written.
+const STATES: [&str; 4] = ["answered", "deferred", "errored", "gone"];
+
+/// A router's figures, from 0 at its start.
+#[derive(Debug, Default)]
+pub struct Figures {
+    classes: Vec<String>,
+    ends: Vec<[AtomicU64; STATES.len()]>,
+    current: AtomicU64,
+    sends: AtomicU64,
+    listed: AtomicU64,
+    avoided: AtomicU64,
+    drained: AtomicU64,
+    successor: AtomicU64,
+}
+
+impl Figures {
+    /// All at 0.
+    pub fn new(classes: &[String]) -> Figures {
+        Figures {
+            classes: classes.to_vec(),
+            ends: classes.iter().map(|_| Default::default()).collect(),
+            ..Figures::default()
+        }
+    }
+
+    /// An RPC of this class was taken.
+    pub fn take(self: &Arc<Self>, class: u32) -> Taken {
+        self.current.fetch_add(1, Ordering::Relaxed);
+        Taken { figures: self.clone(), class: class as usize, end: End::Gone }
+    }
+
+    /// A call attempt was written whole to a model server.
+    pub fn sent(&self) {
+        self.sends.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// So many model servers are listed, and so many of them are avoided.
+    pub fn fleet(&self, listed: usize, avoided: usize) {
+        self.listed.store(listed as u64, Ordering::Relaxed);
+        self.avoided.store(avoided as u64, Ordering::Relaxed);
+    }
+
+    /// Whether the router is drained.
+    pub fn drained(&self, drained: bool) {
+        self.drained.store(drained.into(), Ordering::Relaxed);
+    }
+
+    /// Whether a successor has taken over.
+    pub fn succeeded(&self, succeeded: bool) {
+        self.successor.store(succeeded.into(), Ordering::Relaxed);
+    }
+
+    /// How many RPCs are taken and not ended.
+    pub fn current(&self) -> u64 {
+        self.current.load(Ordering::Relaxed)
+    }
+
+    /// The figures in the text format that Prometheus reads.
+    pub fn text(&self) -> String {
+        let mut out = String::with_capacity(1024 + 256 * self.classes.len());
+        let head = |name: &str, kind: &str, help: &str| {
+            format!("# HELP router_{name} {help}\n# TYPE router_{name} {kind}\n")
+        };
+        out.push_str(&head("transactions", "counter", "Requests by class and how they ended."));
+        for (class, ends) in self.classes.iter().zip(&self.ends) {
+            for (state, n) in STATES.iter().zip(ends) {
+                let (class, n) = (escaped(class), n.load(Ordering::Relaxed));
+                let _ = writeln!(out, "router_transactions{{group=\"{class}\",state=\"{state}\"}} {n}");
+            }
+        }
+        let plain = [
+            ("sends", "counter", "Call attempts written whole to model servers.", &self.sends),
+            ("current", "gauge", "Requests taken and not ended.", &self.current),
+            ("cluster_size", "gauge", "Model servers in the list.", &self.listed),
+            ("cluster_unhealthy", "gauge", "Listed model servers that are avoided now.", &self.avoided),
+            ("drained", "gauge", "1 while the router is drained.", &self.drained),
+            ("succeeded", "gauge", "1 once another process has taken over.", &self.successor),
+        ];
+        for (name, kind, help, n) in plain {
+            out.push_str(&head(name, kind, help));
+            let _ = writeln!(out, "router_{name} {}", n.load(Ordering::Relaxed));
+        }
+        out
+    }
+}
+
+/// A label's value: backslash, quote and line feed are escaped.
+fn escaped(value: &str) -> String {
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+/// An RPC that was taken. It is counted once, when this is dropped.
+#[derive(Debug)]
+pub struct Taken {
+    figures: Arc<Figures>,
+    class: usize,
+    end: End,
+}
+
+impl Taken {
+    /// How it ends, unless something later is said of it.
+    pub fn ends(&mut self, end: End) {
+        self.end = end;
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.figures.current.fetch_sub(1, Ordering::Relaxed);
+        if let Some(ends) = self.figures.ends.get(self.class) {
+            ends[self.end as usize].fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn value(text: &str, name: &str) -> u64 {
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+        line.unwrap_or_else(|| panic!("{name} in {text}")).parse().unwrap()
+    }
+
+    #[test]
+    fn every_class_and_state_is_there_from_the_start_with_its_label_escaped() {
+        let text = Figures::new(&["hint".into(), "a\"b\\c\nd".into()]).text();
+        for state in STATES {
+            assert_eq!(value(&text, &format!("router_transactions{{group=\"hint\",state=\"{state}\"}}")), 0);
+            let odd = format!("router_transactions{{group=\"a\\\"b\\\\c\\nd\",state=\"{state}\"}}");
+            assert_eq!(value(&text, &odd), 0);
+        }
+        for name in ["sends", "current", "cluster_size", "cluster_unhealthy", "drained", "succeeded"] {
+            assert_eq!(value(&text, &format!("router_{name}")), 0);
+            assert!(text.contains(&format!("# TYPE router_{name} ")));
+        }
+    }
+
+    proptest! {
+        /// Beside a plain tally: each RPC counts once, however its life goes and whatever is said of it meanwhile.
+        #[test]
+        fn counts_agree_with_a_tally(steps in prop::collection::vec((0u32..4, 0usize..5, any::<bool>()), 0..200)) {
+            let ends = [End::Answered, End::Deferred, End::Errored, End::Gone];
+            let classes = ["a".to_string(), "b".to_string(), "c".to_string()];
+            let figures = Arc::new(Figures::new(&classes));
+            let (mut open, mut tally) = (Vec::new(), [[0u64; 4]; 3]);
+            for (class, end, ending) in steps {
+                // a class that is none is taken too, and counted nowhere
+                open.push((class, figures.take(class), End::Gone));
+                let at = (class as usize * 7 + end) % open.len();
+                if end < 4 {
+                    open[at].1.ends(ends[end]);
+                    open[at].2 = ends[end];
+                }
+                if ending {
+                    let (class, taken, end) = open.swap_remove(at);
+                    drop(taken);
+                    if let Some(class) = tally.get_mut(class as usize) {
+                        class[end as usize] += 1;
+                    }
+                }
+                let text = figures.text();
+                prop_assert_eq!(value(&text, "router_current"), open.len() as u64);
+                for (name, counts) in classes.iter().zip(&tally) {
+                    for (state, n) in STATES.iter().zip(counts) {
+                        let name = format!("router_transactions{{group=\"{name}\",state=\"{state}\"}}");
+                        prop_assert_eq!(value(&text, &name), *n);
+                    }
+                }
+            }
+            drop(open);
+            prop_assert_eq!(figures.current(), 0);
+        }
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -143,11 +143,9 @@
         let rate = set.quotas[tenant] / f64::from(set.instances);
         let aim = set.classes.iter().map(|c| c.aim.secs()).fold(0.0, f64::max);
         (*credit, *at) = ((*credit + rate * (now - *at).secs()).min((rate * aim).max(1.0)), now);
-        if *credit < 1.0 {
-            return set.over_share_worth;
-        }
-        *credit -= 1.0;
-        1.0
+        let within = *credit >= 1.0;
+        *credit -= f64::from(u8::from(within));
+        if within { 1.0 } else { set.over_share_worth }
     }
 
     /// Whether a request of this worth for its work is among the part admitted, beside the latest arrivals.
@@ -283,6 +281,12 @@
         self.replicas.len()
     }
 
+    /// Listed replicas that it avoids now: those not in service, and those put off after failures.
+    pub fn avoided(&self) -> usize {
+        let listed = self.replicas.iter().filter(|r| r.listed && r.entry.state != State::Terminated);
+        listed.filter(|r| !r.usable() || (r.failures > 0 && r.maturity > self.now)).count()
+    }
+
     /// Takes in all events of a batch, then releases what can go.
     pub fn step(&mut self, now: Time, events: &[Event], out: &mut Vec<Action>) {
         self.now = now;
@@ -357,8 +361,8 @@
         let Some(request) = self.requests.get(&id) else { return false };
         let model = request.arrival.model;
         let has = |r: &Replica| r.usable() && r.entry.models.ready_in(model).is_some();
-        let mut some = (0..self.replicas.len()).filter(|&k| has(&self.replicas[k])).peekable();
-        (model == 0 && some.peek().is_none()) || some.any(|k| !self.cold(k) || request.turn == Some(k))
+        let mut some = (0..self.replicas.len()).filter(|&k| has(&self.replicas[k]));
+        (model == 0 && self.replicas.is_empty()) || some.any(|k| !self.cold(k) || request.turn == Some(k))
     }
 
     fn member(&mut self, entry: &Entry) {
@@ -445,11 +449,9 @@
 
     /// Present capacity as a part of the whole.
     fn capacity(&self, k: usize) -> f64 {
-        if !self.cold(k) {
-            return 1.0;
-        }
         let age = (self.now - self.replicas[k].entry.started).secs() / self.set.warm_after.secs().max(1e-3);
-        self.set.start_capacity + (1.0 - self.set.start_capacity) * age
+        let part = self.set.start_capacity + (1.0 - self.set.start_capacity) * age;
+        if self.cold(k) { part } else { 1.0 }
     }
 
     /// The cold replica that a call attempt may go to, drawn anew for each: every replica is as likely as
--- a/src/router.rs
+++ b/src/router.rs
@@ -22,9 +22,11 @@
 use crate::net::budget::Budget;
 use crate::net::channel::{self, Front};
 use crate::net::listener::{self, Shared};
-use crate::net::{resolver, subchannel};
+use crate::net::{admin, resolver, subchannel};
+use crate::ops::figures::Figures;
 use crate::routing::Numbers;
 use crate::traces::Traces;
+use crate::upkeep::Upkeep;
 
 /// Part of the memory that bodies of requests may fill.
 const BODY_PART: usize = 3;
@@ -73,6 +75,7 @@
 
 /// A router whose addresses are open.
 pub struct Router {
+    admin: Option<(Arc<Upkeep>, TcpListener)>,
     platform: Option<(Arc<Front>, TcpListener)>,
     batch: Option<batch::Ready>,
     shared: Shared,
@@ -123,8 +126,14 @@
         None if batch.is_some() => None,
         None => return Err(ConfigError::Missing("GW_LISTEN").into()),
     };
+    let admin = match &config.admin {
+        Some(at) => Some(TcpListener::bind(at).await.map_err(|e| RunError::Admin(at.clone(), e))?),
+        None => None,
+    };
     let (clients, servers) = Budget::shares(config.sockets);
-    let shared = Shared { budget: clients, ending, since: Default::default() };
+    let (drain, drained) = watch::channel(None);
+    let shared = Shared { budget: clients, ending, since: Default::default(), drained };
+    let figures = Arc::new(Figures::new(&config.classes));
     let connector = subchannel::Tcp {
         options: subchannel::Options {
             connect_timeout: config.connect_timeout,
@@ -132,6 +141,7 @@
             report: config.report.clone(),
         },
         budget: servers.clone(),
+        figures: figures.clone(),
         mail: Arc::new(OnceLock::new()),
     };
     let models_budget = servers;
@@ -163,7 +173,10 @@
         max_open: config.max_open,
         connector: Box::new(connector),
         resolver: asks.clone(),
+        bans: Vec::new(),
+        figures,
     });
+    let upkeep = Upkeep::new(core.clone(), drain);
     let _ = mail_cell.set(core_mail.clone());
     let traces = Traces::default();
     let mut mail = core_mail.clone();
@@ -195,7 +208,9 @@
     }
     let batch = match batch {
         Some(options) => {
-            let front = batch::open(options, &config, core.clone(), shared.clone(), live).await?;
+            // a drain concerns the platform's clients: files and their lines have nowhere else to go
+            let shared = Shared { drained: watch::channel(None).1, ..shared.clone() };
+            let front = batch::open(options, &config, core.clone(), shared, live).await?;
             if let Ok(at) = front.address() {
                 info!("{}: batch front on {at}", config.name);
             }
@@ -215,7 +230,11 @@
     if let Some(at) = listener.as_ref().and_then(|l| l.local_addr().ok()) {
         info!("{}: serving on {at}", config.name);
     }
-    Ok(Router { platform: listener.map(|l| (Arc::new(front), l)), batch, shared, reload })
+    if let Some(at) = admin.as_ref().and_then(|l| l.local_addr().ok()) {
+        info!("{}: operators' address {at}", config.name);
+    }
+    let platform = listener.map(|l| (Arc::new(front), l));
+    Ok(Router { admin: admin.map(|l| (upkeep, l)), platform, batch, shared, reload })
 }
 
 impl Router {
@@ -230,6 +249,11 @@
         (platform, self.batch.as_ref().and_then(|b| b.address().ok()))
     }
 
+    /// Where operators call.
+    pub fn admin(&self) -> Option<std::net::SocketAddr> {
+        self.admin.as_ref().and_then(|(_, l)| l.local_addr().ok())
+    }
+
     /// Serves until the program is to end and all that was taken is answered.
     pub async fn serve(self) {
         let shared = self.shared;
@@ -244,6 +268,15 @@
                 batch.serve().await;
             }
         };
-        tokio::join!(platform, batch);
+        let admin = async {
+            match self.admin {
+                Some((upkeep, listener)) => admin::serve(listener, upkeep).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            _ = async { tokio::join!(platform, batch) } => {}
+            () = admin => {}
+        }
     }
 }
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,243 @@
+//! Stories of operators' days over loopback sockets: the operators' address, the figures, maintenance and drain.
+
+mod common;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use common::peers::*;
+use rstest::rstest;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+/// One call at the operators' address.
+async fn call(router: &Router, method: &str, target: &str) -> (u16, String) {
+    let mut client = Client::new(&router.admin).await;
+    let got = client.call(format!("{method} {target} HTTP/1.1\r\nHost: ops\r\n\r\n").as_bytes()).await;
+    assert!(got.head.closes() && client.answer().await.is_none(), "one call to a connection");
+    (got.head.status, got.body)
+}
+
+async fn yes(router: &Router, method: &str, target: &str) -> String {
+    let (status, body) = call(router, method, target).await;
+    assert_eq!(status, 200, "{target}: {body}");
+    body
+}
+
+/// A figure by its name and labels.
+async fn figure(router: &Router, name: &str) -> u64 {
+    let text = yes(router, "GET", "/metrics").await;
+    let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+    line.unwrap_or_else(|| panic!("{name} in {text}")).parse().unwrap()
+}
+
+async fn figures_come_to(router: &Router, wanted: &[(&str, u64)]) {
+    let start = Instant::now();
+    loop {
+        let mut got = Vec::new();
+        for (name, _) in wanted {
+            got.push((*name, figure(router, name).await));
+        }
+        if got == wanted {
+            return;
+        }
+        assert!(start.elapsed() < Duration::from_secs(20), "{got:?}");
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+async fn healthy(router: &Router) -> bool {
+    let got = Client::new(&router.platform).await.call(b"GET /_health HTTP/1.1\r\n\r\n").await;
+    got.head.status == 200
+}
+
+#[tokio::test]
+async fn each_request_is_counted_once_whichever_way_it_ends() {
+    let broken = vec![Step::Write(format!("{STREAM}{}", chunk(&event("half")))), Step::Close];
+    let server = peer(move |n, _, _| match n {
+        0 => answer("x"),
+        1 => broken.clone(),
+        _ => vec![Step::Hang],
+    })
+    .await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let state = |state: &str| format!("router_transactions{{group=\"hint\",state=\"{state}\"}}");
+    let names = ["answered", "deferred", "errored", "gone"].map(state);
+    for name in &names {
+        assert_eq!(figure(&router, name).await, 0);
+    }
+    assert!(ask(&router.platform, "hint", 1000).await.whole);
+    assert!(!ask(&router.platform, "hint", 1000).await.whole);
+    // no request of any class, and one whose client goes
+    assert_eq!(ask(&router.platform, "nobody", 200).await.head.status, 400);
+    let mut client = Client::new(&router.platform).await;
+    client.send(&request("batch-mark", 10_000, "")).await;
+    figures_come_to(&router, &[("router_current", 1), ("router_sends", 3)]).await;
+    drop(client);
+    assert_eq!(ask(&router.platform, "hint", 200).await.head.status, 503);
+    let [answered, deferred, errored, gone] = &names;
+    let other = "router_transactions{group=\"batch-mark\",state=\"gone\"}";
+    let ends =
+        [(answered.as_str(), 1), (deferred, 1), (errored, 1), (gone, 0), (other, 1), ("router_current", 0)];
+    figures_come_to(&router, &ends).await;
+    figures_come_to(&router, &[("router_cluster_size", 1)]).await;
+}
+
+#[rstest]
+#[case("GET /drain HTTP/1.1\r\n\r\n", 405)]
+#[case("POST /nothing HTTP/1.1\r\n\r\n", 404)]
+#[case("POST /model-servers/enable HTTP/1.1\r\n\r\n", 400)]
+#[case("POST /drain HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", 413)]
+#[case("POST /undrain HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 200)]
+#[case("\u{1}\u{2}\r\n\r\n", 400)]
+#[tokio::test]
+async fn what_is_no_call_gets_a_4xx(#[case] text: &str, #[case] status: u16) {
+    let router = route(config(&[], None)).await;
+    let got = Client::new(&router.admin).await.call(text.as_bytes()).await;
+    assert_eq!(got.head.status, status);
+    assert_eq!(got.head.get("allow"), (status == 405).then_some("POST"));
+    let mut long = Client::new(&router.admin).await;
+    let got = long.call(format!("GET /ready HTTP/1.1\r\nX: {}", "a".repeat(40 << 10)).as_bytes()).await;
+    assert_eq!(got.head.status, 431);
+}
+
+#[tokio::test]
+async fn operators_are_answered_beside_silent_callers_and_with_the_clients_sockets_used_up() {
+    let server = peer(|_, _, _| vec![Step::Gate]).await;
+    let mut config = config(&[("s-a", &server.address, "SERVING")], None);
+    config.sockets = 48;
+    let router = route(config).await;
+    let mut clients = Vec::new();
+    for _ in 0..40 {
+        let mut client = Client::new(&router.platform).await;
+        client.send(&request("batch-mark", 10_000, "")).await;
+        clients.push(client);
+    }
+    let mut silent = Vec::new();
+    for _ in 0..20 {
+        silent.push(TcpStream::connect(&router.admin).await.unwrap());
+    }
+    let calls = async {
+        for _ in 0..20 {
+            yes(&router, "GET", "/metrics").await;
+            yes(&router, "POST", "/model-servers/disable?name=s-a").await;
+            yes(&router, "POST", "/model-servers/enable?name=s-a").await;
+        }
+    };
+    timeout(Duration::from_secs(15), calls).await.expect("answers");
+}
+
+#[tokio::test]
+async fn an_address_that_cannot_be_bound_is_named() {
+    let taken = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut config = config(&[], None);
+    config.admin = Some(taken.local_addr().unwrap().to_string());
+    let at = config.admin.clone().unwrap();
+    let plan = stilespan::router::Plan { config, batch: None, edge: None, inventory: None, file: None };
+    let opened = stilespan::router::open(plan, tokio::sync::watch::channel(false).1).await;
+    assert!(opened.err().unwrap().to_string().contains(&at));
+}
+
+#[tokio::test]
+async fn a_server_left_out_gets_nothing_whatever_discovery_lists_until_it_is_put_back() {
+    let (a, b) = (peer(|_, _, _| answer("a")).await, peer(|_, _, _| answer("b")).await);
+    let discovery = peer(|_, _, _| vec![Step::Gate, Step::Free]).await;
+    let (at_a, at_b) = (a.address.clone(), b.address.clone());
+    let both = [("s-a", at_a.as_str(), "SERVING"), ("s-b", at_b.as_str(), "SERVING")];
+    let router = route(config(&both, Some(&discovery.address))).await;
+    assert_eq!(call(&router, "POST", "/model-servers/disable?name=s-x").await.0, 404);
+    assert_eq!(call(&router, "POST", "/model-servers/enable?name=s-x").await.0, 404);
+    // left out twice is left out
+    for _ in 0..2 {
+        yes(&router, "POST", "/model-servers/disable?name=s-a").await;
+    }
+    let before = a.requests();
+    for _ in 0..20 {
+        assert!(ask(&router.platform, "hint", 1000).await.whole);
+    }
+    assert_eq!(a.requests(), before);
+    figures_come_to(&router, &[("router_cluster_size", 2), ("router_cluster_unhealthy", 1)]).await;
+    // all left out: refused at once, as nothing can come of waiting
+    yes(&router, "POST", "/model-servers/disable?name=s-b").await;
+    let start = Instant::now();
+    assert_eq!(ask(&router.platform, "batch-mark", 10_000).await.head.status, 503);
+    assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
+    // one call puts it back; it may have been restarted, and is used as a cold one
+    yes(&router, "POST", "/model-servers/enable?name=s-b").await;
+    yes(&router, "POST", "/model-servers/enable?name=s-a").await;
+    let served = async {
+        while a.requests() == before || b.requests() < 21 {
+            ask(&router.platform, "hint", 1000).await;
+        }
+    };
+    timeout(Duration::from_secs(10), served).await.expect("used again");
+}
+
+#[tokio::test]
+async fn an_attempt_that_has_not_begun_is_taken_back_and_made_elsewhere() {
+    // accepts nothing: a connection to it is up at once, and its backlog full thereafter
+    let full = tokio::net::TcpSocket::new_v4().unwrap();
+    full.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let full = full.listen(1).unwrap();
+    let at = full.local_addr().unwrap().to_string();
+    let mut held = Vec::new();
+    while let Ok(Ok(stream)) = timeout(Duration::from_millis(200), TcpStream::connect(&at)).await {
+        held.push(stream);
+    }
+    let good = peer(|_, _, _| answer("good")).await;
+    let mut config = config(&[("s-a", &at, "SERVING")], None);
+    config.connect_timeout = Duration::from_secs(8);
+    let router = route(config).await;
+    let mut client = Client::new(&router.platform).await;
+    client.send(&request("batch-mark", 10_000, "")).await;
+    figures_come_to(&router, &[("router_current", 1)]).await;
+    sleep(Duration::from_millis(50)).await;
+    let start = Instant::now();
+    yes(&router, "POST", "/model-servers/disable?name=s-a").await;
+    // there is no other: it is refused now, and not when the connection would have failed
+    let got = client.answer().await.unwrap();
+    assert_eq!(got.head.status, 503);
+    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+    assert_eq!(good.requests(), 0);
+}
+
+#[tokio::test]
+async fn a_drained_router_empties_and_takes_clients_again() {
+    let server = peer(|n, _, _| if n == 0 { vec![Step::Gate, Step::Free] } else { answer("x") }).await;
+    let late = Duration::from_secs(4);
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut busy = Client::new(&router.platform).await;
+    busy.send(&request("batch-mark", 10_000, "")).await;
+    until("the request is there", || server.requests() == 1).await;
+    let mut idle = Client::new(&router.platform).await;
+    assert!(idle.call(&request("hint", 1000, "")).await.whole);
+    for _ in 0..2 {
+        yes(&router, "POST", "/drain").await;
+    }
+    assert!(!healthy(&router).await);
+    assert_eq!(call(&router, "GET", "/ready").await.0, 200);
+    // a client that comes all the same is served, and told to go elsewhere with the next
+    let got = ask(&router.platform, "hint", 1000).await;
+    assert!(got.whole && got.head.closes());
+    timeout(late, idle.answer()).await.expect("an idle connection is closed");
+    // what is under way ends whole
+    server.gate.add_permits(1);
+    drop(busy);
+    figures_come_to(&router, &[("router_current", 0), ("router_drained", 1)]).await;
+    for _ in 0..2 {
+        yes(&router, "POST", "/undrain").await;
+    }
+    assert!(healthy(&router).await);
+    let mut client = Client::new(&router.platform).await;
+    assert!(!client.call(&request("hint", 1000, "")).await.head.closes());
+    // undrained in the middle: the connection stays
+    yes(&router, "POST", "/drain").await;
+    yes(&router, "POST", "/undrain").await;
+    sleep(Duration::from_millis(700)).await;
+    assert!(client.call(&request("hint", 1000, "")).await.whole);
+    // the end of a drained router is an end like any other
+    yes(&router, "POST", "/drain").await;
+    router.end.send(true).unwrap();
+    timeout(Duration::from_secs(20), router.done).await.expect("ends").unwrap();
+    assert!(server.dropped.load(Ordering::SeqCst) <= 1);
+}
