A new process takes over the listening socket, list, orders and shares from the old one

Ruled out: SO_REUSEPORT (two queues), the file of the list alone (news in the overlap would not bind the new process).

GW_FD is taken over by crates/inherited (checked, close-on-exec); bans and drain are kept in one file before the yes; list, calls of the overlap, shares of descriptors and of room for bodies, and the word that the new process serves go over a Unix socket (net/handover.rs). With that word SIGTERM makes the old process leave the listening socket at once; its clients' share goes over as it empties. Without GW_FD nothing of it runs.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -259,12 +259,14 @@
 }
 
 /// Mail for the list's actor.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum ListOrder {
     /// The module wants the list's changes from now on.
     Watch,
     /// The list is to be had at another address from now on. Opaque here.
     Move(String),
+    /// The list as another process of this router holds it, in this version.
+    Told(u64, Resolved),
 }
 
 /// An operator's order about a model server. Orders have a mailbox of their own, ahead of clients' mail.
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 use stilespan::config::{Config, ConfigError};
 use stilespan::edge::config::Book;
 use stilespan::logs::{self, Form};
-use stilespan::router::{self, Plan};
+use stilespan::router::{self, Inherited, Plan};
 use stilespan::routing::Numbers;
 use stilespan::{batch, commands, inventory};
 
@@ -115,6 +115,8 @@
 struct Version {}
 
 fn main() -> ExitCode {
+    // ahead of all that opens descriptors
+    let inherited = std::env::var("GW_FD").ok().filter(|n| !n.is_empty()).map(|n| inherited::listener(&n));
     let args: Args = argh::from_env();
     let form = match &args.command {
         Command::Serve(serve) => serve.log,
@@ -135,6 +137,7 @@
         },
         Command::Budgets(budgets) => commands::budgets(&budgets.at),
         Command::Serve(serve) => plan(serve.config, serve.batch, serve.edge, serve.inventory)
+            .and_then(|plan| Ok(Plan { inherited: inherited.map(folder).transpose()?, ..plan }))
             .and_then(|plan| router::run(plan).map_err(|e| e.to_string())),
     };
     match done {
@@ -146,6 +149,13 @@
     }
 }
 
+/// The listening socket that `GW_FD` names, with the folder where the router's processes meet.
+fn folder(listener: Result<std::net::TcpListener, inherited::Error>) -> Result<Inherited, String> {
+    let listener = listener.map_err(|e| format!("GW_FD: {e}"))?;
+    let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty()).map(PathBuf::from);
+    Ok(Inherited { listener, folder })
+}
+
 /// Reads the files that the command line and the environment name.
 fn plan(
     config: Option<PathBuf>,
@@ -160,7 +170,7 @@
         Err(ConfigError::Missing(_)) if batch.is_some() => Config::standalone(),
         loaded => loaded.map_err(|e| e.to_string())?,
     };
-    Ok(Plan { config, batch, edge, inventory, file })
+    Ok(Plan { config, batch, edge, inventory, file, inherited: None })
 }
 
 /// Says what the files hold.
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -134,9 +134,10 @@
 async fn carry_out(call: Call, upkeep: &Upkeep) -> Reply {
     match upkeep.call(call).await {
         Ok(text) => Reply { status: "200 OK", allow: None, text },
-        Err(No::Unlisted) => Reply::no("404 Not Found", "no list has ever named this model server"),
-        Err(No::NotReady) => Reply::no("503 Service Unavailable", "not ready"),
-        Err(No::Ending) => Reply::no("503 Service Unavailable", "the router is ending"),
+        Err(no) => Reply::no(
+            if no == No::Unlisted { "404 Not Found" } else { "503 Service Unavailable" },
+            no.to_string(),
+        ),
     }
 }
 
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -8,8 +8,9 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 /// Descriptors that are no connection of a client's or a model server's: standard streams, the runtime's own,
-/// listeners, files, and the two connections that discovery may take while its address changes.
-const RESERVE: usize = 32;
+/// listeners, files, operators' callers, the router's other process, and the two connections that discovery may take
+/// while its address changes.
+const RESERVE: usize = 40;
 
 #[derive(Default)]
 struct Idle {
@@ -79,10 +80,26 @@
 impl Budget {
     /// The clients' and the model servers' share for a process that may hold so many descriptors. Guards against
     /// clients that leave no socket for the servers: an RPC needs one of each.
-    pub fn shares(descriptors: usize) -> (Budget, Budget) {
+    pub fn sizes(descriptors: usize) -> (usize, usize) {
         let sockets = descriptors.saturating_sub(RESERVE).max(4);
-        let share = |n| Budget { sockets: Arc::new(Semaphore::new(n)), idle: Arc::default() };
-        (share(sockets / 2), share(sockets - sockets / 2))
+        (sockets / 2, sockets - sockets / 2)
+    }
+
+    /// A share of so many sockets.
+    pub fn new(sockets: usize) -> Budget {
+        Budget { sockets: Arc::new(Semaphore::new(sockets)), idle: Arc::default() }
+    }
+
+    /// Takes so many more sockets into the share.
+    pub fn grow(&self, by: usize) {
+        self.sockets.add_permits(by);
+    }
+
+    /// Gives some sockets of the share away, up to so many: waits for the first, and adds what is free with it.
+    pub async fn cede(&self, most: usize) -> usize {
+        let Some(first) = self.take().await else { return 0 };
+        first.forget();
+        1 + self.sockets.forget_permits(most - 1)
     }
 
     /// Puts a connection on the list of those that may be closed.
@@ -135,7 +152,7 @@
 
     #[tokio::test]
     async fn a_bell_that_came_with_a_request_is_passed_on() {
-        let (clients, _) = Budget::shares(RESERVE + 4);
+        let clients = Budget::new(2);
         let held = [clients.take().await, clients.take().await];
         let (first, mut second) = (clients.idle(), clients.idle());
         let waiting = clients.clone();
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -50,6 +50,8 @@
     pub ending: watch::Receiver<bool>,
     /// When that was seen first.
     pub since: Arc<OnceLock<Instant>>,
+    /// Whether another process has taken the listening socket over.
+    pub succeeded: watch::Receiver<bool>,
     /// Since when the router is drained.
     pub drained: watch::Receiver<Drained>,
 }
@@ -121,8 +123,13 @@
         tokio::select! {
             biased;
             () = turned(&mut ending), if last.is_none() => {
+                let since = *shared.since.get_or_init(Instant::now);
+                if *shared.succeeded.borrow() {
+                    info!("ending: another process takes the connections");
+                    break;
+                }
                 info!("ending: taking connections for a little longer");
-                last = Some(*shared.since.get_or_init(Instant::now) + LINGER);
+                last = Some(since + LINGER);
             }
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod budget;
 pub mod channel;
+pub mod handover;
 pub mod http;
 pub mod listener;
 pub mod resolver;
--- a/src/net/resolver.rs
+++ b/src/net/resolver.rs
@@ -1,11 +1,12 @@
 //! The list's actor: watches discovery once the module asks for it, and turns its answers into resolver results.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use tracing::{info, warn};
 
@@ -24,7 +25,7 @@
 const MAX_LIST: usize = 4 << 20;
 
 /// A list as discovery and the configuration write it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct RawList {
     revision: u64,
     #[serde(default)]
@@ -33,7 +34,7 @@
     members: Vec<RawHost>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 struct RawHost {
     id: String,
     host_port: String,
@@ -105,12 +106,18 @@
     pub revision: u64,
     /// The names of the zones.
     pub localities: Vec<String>,
+    /// The list is watched from the start: another process of this router did, and the watch goes on.
+    pub watch: bool,
+    /// Where the list is shown as it is held, for a process that follows this one.
+    pub show: Option<watch::Sender<Option<RawList>>>,
 }
 
 struct Resolver {
     options: Options,
     /// The next call asks for the whole list.
     whole: bool,
+    /// The list as it is held, where somebody is shown it.
+    held: BTreeMap<String, RawHost>,
     connection: Option<(TcpStream, Buffer)>,
 }
 
@@ -145,13 +152,32 @@
 /// need not go on from the old one's. A call under way at the old address is given up; its answer, of a service
 /// that is going away, would hold the new list up until its wait has passed.
 pub async fn run(options: Options, mut asked: mpsc::Receiver<ListOrder>, mail: mpsc::Sender<Mail>) {
-    let mut resolver = Resolver { options, whole: false, connection: None };
-    while let Some(order) = asked.recv().await {
-        if let ListOrder::Move(address) = order {
-            resolver.move_to(address);
+    let shown = options.show.as_ref().and_then(|show| show.borrow().clone());
+    let held = shown.map(|list| list.members).unwrap_or_default();
+    let held = held.into_iter().map(|host| (host.id.clone(), host)).collect();
+    let mut resolver = Resolver { options, whole: false, held, connection: None };
+    let mut first = resolver.options.watch.then_some(ListOrder::Watch);
+    loop {
+        let order = match first.take() {
+            Some(order) => Some(order),
+            None => asked.recv().await,
+        };
+        match order {
+            Some(ListOrder::Watch) => {}
+            Some(ListOrder::Move(address)) => resolver.move_to(address),
+            Some(ListOrder::Told(revision, list)) => {
+                // the next call asks for what came after that
+                if revision > resolver.options.revision {
+                    resolver.options.revision = revision;
+                    let _ = mail.send(Mail::Resolved(list)).await;
+                }
+                continue;
+            }
+            None => return,
         }
         loop {
             let called = {
+                let revision = resolver.options.revision;
                 let call = resolver.call();
                 tokio::pin!(call);
                 loop {
@@ -161,6 +187,10 @@
                             // asked again while watching: the watch answers that as well
                             Some(ListOrder::Watch) => {}
                             Some(ListOrder::Move(address)) => break Err(address),
+                            // the call's answer tells of what is newer still
+                            Some(ListOrder::Told(told, list)) => if told > revision {
+                                let _ = mail.send(Mail::Resolved(list)).await;
+                            },
                             None => return,
                         },
                         list = &mut call => break Ok(list),
@@ -173,6 +203,7 @@
                     continue;
                 }
                 Ok(Ok(list)) => {
+                    resolver.hold(&list);
                     (resolver.options.revision, resolver.whole) = (list.revision, false);
                     let kind = if list.complete { ListKind::Complete } else { ListKind::Partial };
                     Some(list.resolved(kind, &resolver.options.localities))
@@ -196,6 +227,27 @@
 }
 
 impl Resolver {
+    /// Keeps the list as it is held, for whoever is shown it.
+    fn hold(&mut self, list: &RawList) {
+        let Some(show) = &self.options.show else { return };
+        if list.complete {
+            self.held.clear();
+        } else if list.members.is_empty()
+            && show.borrow().as_ref().is_some_and(|s| s.revision == list.revision)
+        {
+            return;
+        }
+        for host in &list.members {
+            if host.phase == "DELETED" {
+                self.held.remove(&host.id);
+            } else {
+                self.held.insert(host.id.clone(), host.clone());
+            }
+        }
+        let members = self.held.values().cloned().collect();
+        show.send_replace(Some(RawList { revision: list.revision, complete: true, members }));
+    }
+
     fn move_to(&mut self, address: String) {
         info!("discovery is at {address} now");
         self.options.address = address;
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod bans;
 pub mod figures;
+pub mod kept;
--- a/src/router.rs
+++ b/src/router.rs
@@ -6,7 +6,7 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tracing::{error, info, warn};
 
 use crate::batch;
@@ -19,14 +19,16 @@
 use crate::error::RunError;
 use crate::interface::ListKind;
 use crate::inventory;
-use crate::net::budget::Budget;
 use crate::net::channel::{self, Front};
+use crate::net::handover::{Handover, Meeting, Room, Shares};
 use crate::net::listener::{self, Shared};
 use crate::net::{admin, resolver, subchannel};
 use crate::ops::figures::Figures;
+use crate::ops::kept::Orders;
 use crate::routing::Numbers;
 use crate::traces::Traces;
 use crate::upkeep::Upkeep;
+use crate::wire::replica_id;
 
 /// Part of the memory that bodies of requests may fill.
 const BODY_PART: usize = 3;
@@ -43,6 +45,16 @@
     pub inventory: Option<PathBuf>,
     /// The file that the configuration came from, read anew on SIGHUP.
     pub file: Option<PathBuf>,
+    /// The platform holds the clients' listening socket, so that one process can replace another.
+    pub inherited: Option<Inherited>,
+}
+
+/// What a process is started with where it may replace another one, and be replaced.
+pub struct Inherited {
+    /// The clients' listening socket.
+    pub listener: std::net::TcpListener,
+    /// The router's own folder; without it, processes know nothing of each other.
+    pub folder: Option<PathBuf>,
 }
 
 /// Runs a router until SIGTERM, with all that it has taken answered.
@@ -76,6 +88,7 @@
 /// A router whose addresses are open.
 pub struct Router {
     admin: Option<(Arc<Upkeep>, TcpListener)>,
+    handover: Option<(Arc<Handover>, Option<Meeting>)>,
     platform: Option<(Arc<Front>, TcpListener)>,
     batch: Option<batch::Ready>,
     shared: Shared,
@@ -120,19 +133,43 @@
 
 /// Opens a router's addresses and starts its actors.
 pub async fn open(plan: Plan, ending: watch::Receiver<bool>) -> Result<Router, RunError> {
-    let Plan { mut config, batch, edge, inventory, file } = plan;
-    let listener = match &config.listen {
-        Some(at) => Some(TcpListener::bind(at).await.map_err(|e| RunError::Listen(at.clone(), e))?),
-        None if batch.is_some() => None,
-        None => return Err(ConfigError::Missing("GW_LISTEN").into()),
+    let Plan { mut config, batch, edge, inventory, file, inherited } = plan;
+    let mut room = None;
+    let listener = match (inherited, &config.listen) {
+        (Some(Inherited { listener, folder }), _) => {
+            room = folder.as_deref().map(Room::new).transpose().map_err(RunError::System)?;
+            Some(TcpListener::from_std(listener).map_err(RunError::System)?)
+        }
+        (None, Some(at)) => Some(TcpListener::bind(at).await.map_err(|e| RunError::Listen(at.clone(), e))?),
+        (None, None) if batch.is_some() => None,
+        (None, None) => return Err(ConfigError::Missing("GW_LISTEN").into()),
     };
     let admin = match &config.admin {
         Some(at) => Some(TcpListener::bind(at).await.map_err(|e| RunError::Admin(at.clone(), e))?),
         None => None,
     };
-    let (clients, servers) = Budget::shares(config.sockets);
+    let mut before = match &room {
+        Some(room) => room.meet().await,
+        None => None,
+    };
+    let orders = match (before.as_mut().and_then(|b| b.orders.take()), &room) {
+        (Some(orders), _) => orders,
+        (None, Some(room)) => room.kept(),
+        (None, None) => Orders::default(),
+    };
+    // the list as the process before this one holds it is what this router was told
+    if let Some(list) = before.as_mut().and_then(|b| b.list.take())
+        && config.known.as_ref().is_none_or(|known| known.revision() <= list.revision())
+    {
+        config.known = Some(list);
+    }
+    let shares = Shares::new(config.sockets, (config.memory / BODY_PART) >> 10, before.is_none());
+    let shares = Arc::new(shares);
+    let servers = shares.servers.clone();
     let (drain, drained) = watch::channel(None);
-    let shared = Shared { budget: clients, ending, since: Default::default(), drained };
+    let (succeed, succeeded) = watch::channel(false);
+    let shared =
+        Shared { budget: shares.clients.clone(), ending, since: Default::default(), succeeded, drained };
     let figures = Arc::new(Figures::new(&config.classes));
     let connector = subchannel::Tcp {
         options: subchannel::Options {
@@ -173,10 +210,12 @@
         max_open: config.max_open,
         connector: Box::new(connector),
         resolver: asks.clone(),
-        bans: Vec::new(),
+        bans: orders.bans.iter().map(|ban| (replica_id(&ban.name), ban.clone())).collect(),
         figures,
     });
-    let upkeep = Upkeep::new(core.clone(), drain);
+    let kept = room.as_ref().map(Room::orders);
+    let upkeep = Upkeep::new(core.clone(), drain, orders, kept, before.is_none());
+    let (show, list) = watch::channel(config.known.clone());
     let _ = mail_cell.set(core_mail.clone());
     let traces = Traces::default();
     let mut mail = core_mail.clone();
@@ -201,9 +240,15 @@
             let _ = mail.send(Mail::Resolved(known)).await;
         }
         if let Some(address) = config.discovery.clone() {
-            let options = resolver::Options { address, revision, localities: config.localities.clone() };
+            let options = resolver::Options {
+                address,
+                revision,
+                localities: config.localities.clone(),
+                watch: before.is_some(),
+                show: room.is_some().then_some(show),
+            };
             tokio::spawn(resolver::run(options, asked, mail));
-            reload.list = Some(asks);
+            reload.list = Some(asks.clone());
         }
     }
     let batch = match batch {
@@ -220,7 +265,7 @@
     };
     let front = Front {
         core,
-        bodies: Arc::new(Semaphore::new((config.memory / BODY_PART) >> 10)),
+        bodies: shares.bodies.clone(),
         deadlines: config.settings.classes.iter().map(|c| Duration::from_micros(c.deadline.0)).collect(),
         classes: config.classes,
         tenants: config.tenants,
@@ -234,7 +279,19 @@
         info!("{}: operators' address {at}", config.name);
     }
     let platform = listener.map(|l| (Arc::new(front), l));
-    Ok(Router { admin: admin.map(|l| (upkeep, l)), platform, batch, shared, reload })
+    let handover = room.map(|room| Handover {
+        room,
+        upkeep: upkeep.clone(),
+        shares,
+        list,
+        localities: config.localities,
+        asks,
+        ending: shared.ending.clone(),
+        succeeded: succeed,
+        path: Notify::new(),
+    });
+    let handover = handover.map(|handover| (Arc::new(handover), before));
+    Ok(Router { admin: admin.map(|l| (upkeep, l)), handover, platform, batch, shared, reload })
 }
 
 impl Router {
@@ -258,6 +315,9 @@
     pub async fn serve(self) {
         let shared = self.shared;
         let platform = async {
+            if let Some((handover, before)) = self.handover {
+                handover.start(before).await;
+            }
             if let Some((front, listener)) = self.platform {
                 listener::serve(shared, channel::OWED, listener, listener::handler(front, channel::run))
                     .await;
--- a/src/upkeep.rs
+++ b/src/upkeep.rs
@@ -1,19 +1,31 @@
-//! Operators' calls carried out, whichever way they come: the core's bans, the router's drain, the figures' text.
+//! Operators' calls carried out, whichever way they come: the core's bans, the router's drain, the figures' text. What
+//! has to outlive the process is kept before the yes, and another process of the same router carries it out as well.
 
-use std::sync::Arc;
-use std::time::Instant;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
-use tokio::sync::watch;
-use tracing::info;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
+use tracing::{error, info, warn};
 
 use crate::core::Handle;
+use crate::ops::kept::Orders;
 use crate::wire::replica_id;
 
 /// Since when the router is drained; none while it takes clients.
 pub type Drained = Option<Instant>;
 
+/// How long another process may take to carry a call out; an operator waits a second.
+const ELSEWHERE: Duration = Duration::from_millis(500);
+/// Calls that wait for another process at the most.
+const CALLS: usize = 16;
+
 /// What an operator asks for.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Call {
     /// Whether this process can serve.
     Ready,
@@ -30,7 +42,7 @@
 }
 
 /// Why a call gets a no.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum No {
     /// The process can't serve yet.
     NotReady,
@@ -38,41 +50,113 @@
     Unlisted,
     /// The router is ending.
     Ending,
+    /// It is done here, and would be lost with this process.
+    Unkept(String),
+    /// It is done here, and not at the router's other process.
+    Elsewhere,
+}
+
+impl std::fmt::Display for No {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            No::NotReady => out.write_str("not ready"),
+            No::Unlisted => out.write_str("no list has ever named this model server"),
+            No::Ending => out.write_str("the router is ending"),
+            No::Unkept(why) => write!(out, "done, but it can't be kept for the next process: {why}"),
+            No::Elsewhere => out.write_str("done here, but the router's other process does not answer"),
+        }
+    }
 }
 
+impl std::error::Error for No {}
+
+/// A call for another process, and where its answer goes.
+pub type Forward = (Call, oneshot::Sender<bool>);
+
 /// Carries calls out.
 pub struct Upkeep {
     core: Handle,
     drained: watch::Sender<Drained>,
+    /// The orders in force; held while one is carried out, so that they are kept in the order in which they came.
+    orders: tokio::sync::Mutex<Orders>,
+    /// The file that keeps them; none where no process follows this one.
+    file: Option<PathBuf>,
+    serves: AtomicBool,
+    next: AtomicU64,
+    others: Mutex<Vec<(u64, mpsc::Sender<Forward>)>>,
 }
 
 impl Upkeep {
-    /// With the core and the flag that the fronts watch.
-    pub fn new(core: Handle, drained: watch::Sender<Drained>) -> Arc<Upkeep> {
-        Arc::new(Upkeep { core, drained })
+    /// With the core, the flag that the fronts watch, and the orders in force so far. `serves`: it can serve from the
+    /// start, and need not wait for a process before it.
+    pub fn new(
+        core: Handle,
+        drained: watch::Sender<Drained>,
+        orders: Orders,
+        file: Option<PathBuf>,
+        serves: bool,
+    ) -> Arc<Upkeep> {
+        if orders.drained {
+            drained.send_replace(Some(Instant::now()));
+            core.figures().drained(true);
+        }
+        Arc::new(Upkeep {
+            core,
+            drained,
+            orders: tokio::sync::Mutex::new(orders),
+            file,
+            serves: serves.into(),
+            next: AtomicU64::new(0),
+            others: Mutex::default(),
+        })
     }
 
-    /// Carries a call out; what there is to say of it.
+    /// Carries an operator's call out; what there is to say of it.
     pub async fn call(&self, call: Call) -> Result<String, No> {
         match call {
-            Call::Ready if self.core.load().ready() => Ok("ready\n".into()),
-            Call::Ready => Err(No::NotReady),
-            Call::Metrics => Ok(self.core.figures().text()),
-            Call::Disable(name) => self.maintain(&name, true).await,
-            Call::Enable(name) => self.maintain(&name, false).await,
-            Call::Drain => Ok(self.drain(true)),
-            Call::Undrain => Ok(self.drain(false)),
+            Call::Ready if self.listed() && self.serves() => return Ok("ready\n".into()),
+            Call::Ready => return Err(No::NotReady),
+            Call::Metrics => return Ok(self.core.figures().text()),
+            _ => {}
         }
+        let text = self.order(&call, false).await?;
+        // a server that is put back late elsewhere harms nobody, one that is left out late may
+        let must = !matches!(call, Call::Enable(_));
+        if !self.forward(call).await && must {
+            return Err(No::Elsewhere);
+        }
+        Ok(text)
     }
 
-    async fn maintain(&self, name: &str, leave_out: bool) -> Result<String, No> {
-        let done = self.core.maintain(replica_id(name), name, leave_out, false).await;
-        done.map_err(|_| No::Ending)?.ok_or(No::Unlisted)?;
-        Ok(format!("{name} is {}\n", if leave_out { "left out" } else { "put back" }))
+    /// Carries out what an operator asked of the router's other process; whether that was done.
+    pub async fn carry(&self, call: Call) -> bool {
+        let done = self.order(&call, true).await;
+        if let Err(e) = &done {
+            warn!("{call:?}, asked of the router's other process: {e}");
+        }
+        done.is_ok()
+    }
+
+    /// Carries an order out here and keeps it. `known`: whoever passed it on knows the model server.
+    async fn order(&self, call: &Call, known: bool) -> Result<String, No> {
+        let mut orders = self.orders.lock().await;
+        let text = match call {
+            Call::Disable(name) | Call::Enable(name) => {
+                let leave_out = matches!(call, Call::Disable(_));
+                let done = self.core.maintain(replica_id(name), name, leave_out, known).await;
+                orders.bans = done.map_err(|_| No::Ending)?.ok_or(No::Unlisted)?;
+                format!("{name} is {}\n", if leave_out { "left out" } else { "put back" })
+            }
+            _ => {
+                orders.drained = *call == Call::Drain;
+                self.drain(orders.drained).into()
+            }
+        };
+        self.keep(&orders).map(|()| text)
     }
 
-    fn drain(&self, on: bool) -> String {
-        self.drained.send_if_modified(|drained| {
+    fn drain(&self, on: bool) -> &'static str {
+        let changed = self.drained.send_if_modified(|drained| {
             let changes = drained.is_some() != on;
             if changes {
                 *drained = on.then(Instant::now);
@@ -80,7 +164,82 @@
             changes
         });
         self.core.figures().drained(on);
-        info!("{}", if on { "drained" } else { "not drained" });
-        (if on { "drained\n" } else { "taking clients\n" }).into()
+        let text = if on { "drained\n" } else { "taking clients\n" };
+        if changed {
+            info!("{}", text.trim_end());
+        }
+        text
+    }
+
+    /// Writes the orders beside their file and renames: a process that starts reads them whole, or as they were.
+    fn keep(&self, orders: &Orders) -> Result<(), No> {
+        let Some(file) = &self.file else { return Ok(()) };
+        let beside = file.with_extension(std::process::id().to_string());
+        let written = std::fs::write(&beside, orders.text()).and_then(|()| std::fs::rename(&beside, file));
+        written.map_err(|e| {
+            error!("{}: {e}; the orders in force end with this process", file.display());
+            No::Unkept(format!("{}: {e}", file.display()))
+        })
+    }
+
+    /// Has the router's other processes carry a call out as well; whether all did that are there.
+    async fn forward(&self, call: Call) -> bool {
+        let others: Vec<_> = self.others().iter().map(|(_, other)| other.clone()).collect();
+        let asked = others.into_iter().map(|other| {
+            let call = call.clone();
+            async move {
+                let (done, carried_out) = oneshot::channel();
+                if other.send((call, done)).await.is_err() {
+                    // it has gone in the meantime
+                    return true;
+                }
+                // dropped unanswered: gone as well
+                carried_out.await.unwrap_or(true)
+            }
+        });
+        let all = futures_util::future::join_all(asked);
+        timeout(ELSEWHERE, all).await.is_ok_and(|all| all.into_iter().all(|done| done))
+    }
+
+    fn others(&self) -> MutexGuard<'_, Vec<(u64, mpsc::Sender<Forward>)>> {
+        self.others.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Another process of the router is there: calls for it, until it leaves.
+    pub fn join(&self) -> (u64, mpsc::Receiver<Forward>) {
+        let (to, calls) = mpsc::channel(CALLS);
+        let key = self.next.fetch_add(1, Ordering::Relaxed);
+        self.others().push((key, to));
+        (key, calls)
+    }
+
+    /// It has gone.
+    pub fn leave(&self, key: u64) {
+        self.others().retain(|(other, _)| *other != key);
+    }
+
+    /// The orders in force.
+    pub async fn orders(&self) -> Orders {
+        self.orders.lock().await.clone()
+    }
+
+    /// Whether there is a list of model servers.
+    pub fn listed(&self) -> bool {
+        self.core.load().ready()
+    }
+
+    /// Whether this process serves, as far as a process before it is concerned.
+    pub fn serves(&self) -> bool {
+        self.serves.load(Ordering::Relaxed)
+    }
+
+    /// It does from now on.
+    pub fn can_serve(&self) {
+        self.serves.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether another process has taken over.
+    pub fn succeeded(&self, succeeded: bool) {
+        self.core.figures().succeeded(succeeded);
     }
 }
--- a/tests/batch.rs
+++ b/tests/batch.rs
@@ -77,6 +77,7 @@
         edge: None,
         inventory: None,
         file: None,
+        inherited: None,
     })
     .await
 }
@@ -316,6 +317,7 @@
         edge: None,
         inventory: Some(inventory.clone()),
         file: None,
+        inherited: None,
     })
     .await;
     let mut client = Client::new(&router.batch).await;
@@ -362,6 +364,7 @@
         edge: None,
         inventory: Some(inventory.clone()),
         file: None,
+        inherited: None,
     })
     .await;
     let mut client = Client::new(&router.batch).await;
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -225,7 +225,7 @@
 }
 
 pub async fn route(config: Config) -> Router {
-    start(Plan { config, batch: None, edge: None, inventory: None, file: None }).await
+    start(Plan { config, batch: None, edge: None, inventory: None, file: None, inherited: None }).await
 }
 
 pub fn batch_options(spool: &Path) -> batch::Options {
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -105,6 +105,7 @@
         edge: Some(folder.path("edge.toml")),
         inventory: Some(folder.path("hosts.csv")),
         file: None,
+        inherited: None,
     };
     let site = Site { router: start(plan).await, servers, tally, folder };
     let mut client = Client::new(&site.router.batch).await;
--- a/tests/edge_load.rs
+++ b/tests/edge_load.rs
@@ -135,6 +135,7 @@
         edge: Some(folder.path("edge.toml")),
         inventory: Some(folder.path("hosts.csv")),
         file: None,
+        inherited: None,
     };
     let router = start(plan).await;
     sleep(Duration::from_millis(400)).await;
