--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -1,6 +1,6 @@
 //! The budget of sockets, in two shares: the clients' and the model servers'. Where the clients' share runs out,
-//! connections on which nothing is owed are closed, the one longest without progress first; a connection with
-//! something unanswered on it never is.
+//! connections on which nothing is owed are closed: first those on which nothing has begun to come, then those on
+//! which something arrives, the one longest without progress first. One with something unanswered on it never is.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,14 +12,18 @@
 /// while its address changes.
 const RESERVE: usize = 40;
 
+/// A place in the line: whether something arrives, and the order of progress.
+type Place = (bool, u64);
+
 #[derive(Default)]
 struct Idle {
     next: u64,
     /// Peers that wait for a socket, and connections that were asked to close for them and have not yet.
     waiting: usize,
     asked: usize,
-    /// Connections that may be closed, the longest without progress first, each with the bell that closes it.
-    bells: BTreeMap<u64, Arc<Notify>>,
+    /// Connections that may be closed, those with nothing arriving first, then the longest without progress, each
+    /// with the bell that closes it.
+    bells: BTreeMap<Place, Arc<Notify>>,
 }
 
 impl Idle {
@@ -50,7 +54,7 @@
 
 /// A connection on the list of those that may be closed, while this lives.
 pub struct IdleMark {
-    key: u64,
+    key: Place,
     bell: Arc<Notify>,
     closing: bool,
     idle: Arc<Mutex<Idle>>,
@@ -62,6 +66,17 @@
         self.bell.notified().await;
         self.closing = true;
     }
+
+    /// Something arrives on the connection: it goes behind those that are silent, and last in the line. Guards
+    /// against a slow request that makes room for clients that say nothing.
+    pub fn arrives(&mut self) {
+        let mut idle = lock(&self.idle);
+        // not in the line any more: it has been asked to close
+        let Some(bell) = idle.bells.remove(&self.key) else { return };
+        idle.next += 1;
+        self.key = (true, idle.next);
+        idle.bells.insert(self.key, bell);
+    }
 }
 
 impl Drop for IdleMark {
@@ -106,7 +121,7 @@
     pub fn idle(&self) -> IdleMark {
         let mut idle = lock(&self.idle);
         idle.next += 1;
-        let (key, bell) = (idle.next, Arc::new(Notify::new()));
+        let (key, bell) = ((false, idle.next), Arc::new(Notify::new()));
         idle.bells.insert(key, bell.clone());
         // guards against a wait begun while every connection was busy: the first to fall idle makes room
         idle.ring();
@@ -150,6 +165,22 @@
 
     use super::*;
 
+    #[tokio::test]
+    async fn silent_connections_make_room_ahead_of_those_on_which_something_arrives() {
+        let clients = Budget::new(2);
+        let _held = [clients.take().await, clients.take().await];
+        let (mut slow, mut silent, mut stalled) = (clients.idle(), clients.idle(), clients.idle());
+        stalled.arrives();
+        slow.arrives();
+        for (n, next) in [&mut silent, &mut stalled, &mut slow].into_iter().enumerate() {
+            let waiting = clients.clone();
+            let _wait = tokio::spawn(async move { waiting.take().await });
+            timeout(Duration::from_secs(5), next.evicted()).await.unwrap_or_else(|_| panic!("{n} is next"));
+            // asked already: progress comes too late
+            next.arrives();
+        }
+    }
+
     #[tokio::test]
     async fn a_bell_that_came_with_a_request_is_passed_on() {
         let clients = Budget::new(2);
--- a/src/net/channel.rs
+++ b/src/net/channel.rs
@@ -83,7 +83,7 @@
     let mut channel = Channel { front, peer };
     let bad = loop {
         let done = match channel.peer.next().await {
-            Next::Request(head, at) => channel.answer(&head, at).await,
+            Next::Request(head, _) => channel.answer(&head).await,
             Next::Bad(e) => Err(e),
             Next::Closed => return,
         };
@@ -107,7 +107,7 @@
 impl Channel {
     /// Answers one request. All that its head can tell is looked at ahead of its body: guards against bodies that
     /// are read, and held, for requests that can't be served.
-    async fn answer(&mut self, head: &Head, at: Instant) -> Result<Done, HttpError> {
+    async fn answer(&mut self, head: &Head) -> Result<Done, HttpError> {
         let framing = head.framing(false)?;
         let most = MAX_BODY as u64;
         if matches!(framing, Framing::Length(n) if n > most) {
@@ -130,7 +130,7 @@
         if head.method != "POST" {
             return Ok(Done::Bad(Reply::new(404, "Not Found", "no such thing")));
         }
-        let (facts, id) = match self.facts(head, at) {
+        let (mut facts, id) = match self.facts(head) {
             Ok(read) => read,
             Err(reply) => return Ok(Done::Bad(reply)),
         };
@@ -146,6 +146,8 @@
             return Ok(Done::Bad(Reply::new(400, "Bad Request", "the body is no JSON object")));
         }
         self.peer.arrived();
+        // a request's time runs from its last byte, however slowly it came
+        facts.received = Instant::now();
         let rpc = Rpc { facts, payload: payload(&head.method, &head.target, Some(id), body) };
         let Ok(mut ticket) = self.front.core.submit(rpc).await else { return Ok(Done::Over) };
         let answer = tokio::select! {
@@ -179,7 +181,7 @@
     }
 
     /// What a request's head tells, and its id.
-    fn facts<'a>(&self, head: &'a Head, at: Instant) -> Result<(Facts, &'a str), Reply> {
+    fn facts<'a>(&self, head: &'a Head) -> Result<(Facts, &'a str), Reply> {
         let bad = |text| Reply::new(400, "Bad Request", text);
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let class = head.get("x-qos").and_then(|name| place(&self.front.classes, name));
@@ -206,7 +208,7 @@
             shared: 0,
             cap: 0,
             hint: Duration::ZERO,
-            received: at,
+            received: Instant::now(),
             patience: patience.min(MAX_PATIENCE),
             repeat: again == Some("1"),
             resumed: again == Some("again"),
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -204,6 +204,7 @@
             }
         }
         let at = Instant::now();
+        mark.arrives();
         self.arriving = Some((mark, opened.unwrap_or(at) + self.patience.arriving));
         loop {
             match http::request_head(&mut self.buffer) {
@@ -227,7 +228,10 @@
         let began = until.checked_sub(self.patience.arriving).unwrap_or(*until);
         tokio::select! {
             biased;
-            read = self.buffer.fill(&mut self.stream) => if read? > 0 { Ok(()) } else { Err(HttpError::Ended) },
+            read = self.buffer.fill(&mut self.stream) => {
+                mark.arrives();
+                if read? > 0 { Ok(()) } else { Err(HttpError::Ended) }
+            }
             () = mark.evicted() => Err(HttpError::Ended),
             () = tokio::time::sleep_until((*until).into()) => Err(HttpError::Late),
             () = shared.after_end(LAST_CALL) => Err(HttpError::Late),
@@ -281,7 +285,9 @@
     /// The next bytes of an upload, which may take as long as it gets on: each part puts it last in the line of
     /// those that make room, and one that stalls for too long is over. Cancel safe.
     pub async fn upload(&mut self, body: &mut Body, stall: Duration) -> Result<Option<Bytes>, HttpError> {
-        self.arriving = Some((self.shared.budget.idle(), Instant::now() + stall));
+        let mut mark = self.shared.budget.idle();
+        mark.arrives();
+        self.arriving = Some((mark, Instant::now() + stall));
         self.part(body).await
     }
 
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -248,3 +248,31 @@
     timeout(Duration::from_secs(20), router.done).await.expect("ends").unwrap();
     assert!(server.dropped.load(Ordering::SeqCst) <= 1);
 }
+
+/// A request's time runs from its last byte: one that takes longer to come than its client waits for an answer is
+/// served, beside a crowd that says nothing or never finishes.
+#[tokio::test]
+async fn a_slow_request_is_served_beside_a_silent_crowd() {
+    let server = peer(|_, _, _| answer("x")).await;
+    let mut config = config(&[("s-a", &server.address, "SERVING")], None);
+    config.sockets = 72; // sixteen for clients
+    let router = route(config).await;
+    let text = request("hint", 1000, "");
+    let mut slow = Client::new(&router.platform).await;
+    let (mut crowd, half) = (Vec::new(), text.len() / 2);
+    for (n, part) in text.chunks(text.len() / 12).enumerate() {
+        slow.send(part).await;
+        for k in 0..8 {
+            let mut other = Client::new(&router.platform).await;
+            if (n + k) % 2 == 0 {
+                other.send(&text[..half]).await;
+            }
+            crowd.push(other);
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    let got = timeout(Duration::from_secs(10), slow.answer()).await.expect("an answer").expect("not cut off");
+    assert_eq!((got.head.status, got.whole), (200, true));
+    // a usual client gets in as well
+    assert!(ask(&router.platform, "hint", 1000).await.whole);
+}
