--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,4 +1,5 @@
-//! What a route and a reservation cost: `cargo bench --bench decisions`. Results: docs/measurements/decisions.md.
+//! What a route, a reservation and a scrape cost: `cargo bench --bench decisions`. Results: docs/measurements/decisions.md,
+//! and of the scrape docs/measurements/operations.md.
 
 use std::hint::black_box;
 use std::sync::Arc;
@@ -6,6 +7,7 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use jiff::tz::TimeZone;
 use stilespan::interface::{Dur, ReplicaId, State, Time};
+use stilespan::ops::figures::Figures;
 use stilespan::routing::{Ask, Catalog, Holdings, ModelSpec, Needs, Numbers, Route, Step};
 use stilespan::spend::{Budget, Ledger, Length, Limit, MOST_TOKENS, Node, Period, TOKEN, Tree};
 
@@ -106,6 +108,17 @@
     group.finish();
 }
 
+/// The figures' text, with so many RPCs open.
+fn scrape(c: &mut Criterion) {
+    let mut group = c.benchmark_group("scrape");
+    for open in [0, 20_000] {
+        let figures = Arc::new(Figures::new(&["hint".into(), "batch-mark".into()]));
+        let _open: Vec<_> = (0..open).map(|k| figures.take(k % 2)).collect();
+        group.bench_function(BenchmarkId::from_parameter(open), |b| b.iter(|| black_box(figures.text())));
+    }
+    group.finish();
+}
+
 fn memory(_: &mut Criterion) {
     let resident = || {
         let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
@@ -120,5 +133,5 @@
 }
 
 // memory first, while nothing was freed yet
-criterion_group!(all, memory, spend, routes);
+criterion_group!(all, memory, spend, routes, scrape);
 criterion_main!(all);
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -30,7 +30,7 @@
 const LINGER: Duration = Duration::from_millis(450);
 /// A connection whose request isn't here whole by then is closed. Guards against a request that comes so late
 /// that there is no time left to answer it before the platform ends the program.
-const LAST_CALL: Duration = Duration::from_millis(600);
+pub const LAST_CALL: Duration = Duration::from_millis(600);
 /// A drained router closes idle connections so long after the call: until then the platform's front, which asks for
 /// its health now and then, may still send clients.
 const EMPTY: Duration = Duration::from_millis(500);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -4,8 +4,8 @@
 
 use rstest::rstest;
 use stilespan::core::actor::{Core, Parts};
-use stilespan::core::{Connector, Host, Mail, Order, Resolved};
-use stilespan::interface::{Entry, ListKind, ReplicaId, Settings, Time};
+use stilespan::core::{Connector, Host, ListOrder, MAILBOX, Mail, Order, Resolved};
+use stilespan::interface::{Entry, ListKind, ReplicaId, RequestId, Settings, Time};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, timeout};
 
@@ -27,6 +27,36 @@
     Host { name: format!("s-{id}"), address: address.into(), entry, models: None }
 }
 
+fn parts(connector: Scripted, resolver: mpsc::Sender<ListOrder>) -> Parts {
+    Parts {
+        settings: Settings::default(),
+        seed: 1,
+        max_open: 10,
+        connector: Box::new(connector),
+        resolver,
+        bans: Vec::new(),
+        figures: Default::default(),
+    }
+}
+
+/// An operator's order is carried out ahead of clients' mail, however much of it waits.
+#[tokio::test]
+async fn an_order_does_not_wait_behind_a_full_mailbox() {
+    let (resolver, _asked) = mpsc::channel(4);
+    let (handle, mail) = Core::start(parts(Scripted(Opened::default()), resolver));
+    let listed = Resolved { kind: ListKind::Persisted, hosts: vec![host(1, "127.0.0.1:1", 0)] };
+    mail.send(Mail::Resolved(listed)).await.unwrap();
+    while !handle.load().ready() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    while mail.try_send(Mail::Gone(RequestId(7))).is_ok() {}
+    let bans = handle.maintain(ReplicaId(1), "s-1", true, false).await.unwrap().expect("it is listed");
+    assert_eq!((bans.len(), bans[0].back), (1, None));
+    assert!(mail.capacity() < MAILBOX / 2, "mail still waits: {}", mail.capacity());
+    assert_eq!(handle.maintain(ReplicaId(2), "s-2", true, false).await.unwrap(), None);
+    assert!(handle.maintain(ReplicaId(2), "s-2", true, true).await.unwrap().is_some());
+}
+
 /// A host that went unnoticed, and a new one in its place: what is meant for the old one must not meet the new one,
 /// which has just started. An old entry that is told again doesn't turn the new one out.
 #[rstest]
@@ -40,17 +70,7 @@
 ) {
     let opened = Opened::default();
     let (resolver, _asked) = mpsc::channel(4);
-    let connector = Box::new(Scripted(opened.clone()));
-    let parts = Parts {
-        settings: Settings::default(),
-        seed: 1,
-        max_open: 10,
-        connector,
-        resolver,
-        bans: Vec::new(),
-        figures: Default::default(),
-    };
-    let (_handle, mail) = Core::start(parts);
+    let (_handle, mail) = Core::start(parts(Scripted(opened.clone()), resolver));
     for (kind, host) in
         [(ListKind::Persisted, host(1, "127.0.0.1:1", 0)), (ListKind::Partial, host(2, address, started))]
     {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -148,36 +148,61 @@
 #[tokio::test]
 async fn a_server_left_out_gets_nothing_whatever_discovery_lists_until_it_is_put_back() {
     let (a, b) = (peer(|_, _, _| answer("a")).await, peer(|_, _, _| answer("b")).await);
-    let discovery = peer(|_, _, _| vec![Step::Gate, Step::Free]).await;
-    let (at_a, at_b) = (a.address.clone(), b.address.clone());
-    let both = [("s-a", at_a.as_str(), "SERVING"), ("s-b", at_b.as_str(), "SERVING")];
+    let moved = peer(|_, _, _| answer("moved")).await;
+    let (at_a, at_b, at_c) = (a.address.as_str(), b.address.as_str(), moved.address.as_str());
+    let news = [
+        list(2, false, &[("s-a", at_a, "DELETED")]),
+        list(3, false, &[("s-a", at_a, "SERVING")]),
+        list(4, true, &[("s-b", at_b, "SERVING")]),
+        list(5, true, &[("s-a", at_a, "SERVING"), ("s-b", at_b, "SERVING")]),
+        list(6, false, &[("s-a", at_c, "SERVING")]),
+    ];
+    let told = news.map(|list| list.to_string());
+    let discovery = peer(move |n, _, _| match told.get(n) {
+        Some(list) => vec![
+            Step::Gate,
+            Step::Write(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())),
+        ],
+        None => vec![Step::Hang],
+    })
+    .await;
+    let both = [("s-a", at_a, "SERVING"), ("s-b", at_b, "SERVING")];
     let router = route(config(&both, Some(&discovery.address))).await;
+    until("the watch", || discovery.requests() == 1).await;
     assert_eq!(call(&router, "POST", "/model-servers/disable?name=s-x").await.0, 404);
     assert_eq!(call(&router, "POST", "/model-servers/enable?name=s-x").await.0, 404);
     // left out twice is left out
     for _ in 0..2 {
         yes(&router, "POST", "/model-servers/disable?name=s-a").await;
     }
-    let before = a.requests();
-    for _ in 0..20 {
-        assert!(ask(&router.platform, "hint", 1000).await.whole);
+    for n in 1..=6 {
+        for _ in 0..5 {
+            assert!(ask(&router.platform, "hint", 1000).await.whole);
+        }
+        if n < 6 {
+            discovery.gate.add_permits(1);
+            until("the news is in", || discovery.requests() == n + 1).await;
+            // listed once and gone: still known
+            yes(&router, "POST", "/model-servers/disable?name=s-a").await;
+        }
     }
-    assert_eq!(a.requests(), before);
+    assert_eq!((a.requests(), moved.requests()), (0, 0));
     figures_come_to(&router, &[("router_cluster_size", 2), ("router_cluster_unhealthy", 1)]).await;
     // all left out: refused at once, as nothing can come of waiting
     yes(&router, "POST", "/model-servers/disable?name=s-b").await;
     let start = Instant::now();
     assert_eq!(ask(&router.platform, "batch-mark", 10_000).await.head.status, 503);
     assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
-    // one call puts it back; it may have been restarted, and is used as a cold one
+    // one call puts it back, where the list has it now; it may have been restarted, and is used as a cold one
     yes(&router, "POST", "/model-servers/enable?name=s-b").await;
     yes(&router, "POST", "/model-servers/enable?name=s-a").await;
     let served = async {
-        while a.requests() == before || b.requests() < 21 {
+        while moved.requests() == 0 {
             ask(&router.platform, "hint", 1000).await;
         }
     };
     timeout(Duration::from_secs(10), served).await.expect("used again");
+    assert_eq!(a.requests(), 0);
 }
 
 #[tokio::test]
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -274,6 +274,47 @@
     assert_eq!(third.ended().await, Some(0));
 }
 
+/// Both processes together stay within the limit, beside a crowd that takes all that it can get, and the one left has
+/// the whole again.
+#[tokio::test]
+async fn two_processes_hold_no_more_descriptors_than_one_may() {
+    const LIMIT: usize = 96;
+    let (_, _, config) = two_servers().await;
+    let mut config: serde_json::Value = serde_json::from_str(&config).unwrap();
+    config["limits"]["sockets"] = LIMIT.into();
+    let platform = Platform::new(config.to_string());
+    let held = |process: &Process| {
+        std::fs::read_dir(format!("/proc/{}/fd", process.child.id())).map_or(0, |entries| entries.count())
+    };
+    let old = platform.start().await;
+    old.ready().await;
+    let mut crowd = Vec::new();
+    for _ in 0..60 {
+        crowd.push(Client::new(&platform.clients()).await);
+    }
+    let alone = held(&old);
+    let new = platform.start().await;
+    let mut most = 0;
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(1500) {
+        crowd.push(Client::new(&platform.clients()).await);
+        most = most.max(held(&old) + held(&new));
+        sleep(Duration::from_millis(5)).await;
+    }
+    new.ready().await;
+    assert!(most <= LIMIT, "{most} descriptors");
+    assert!(ask(&platform.clients(), "hint", 1000).await.whole);
+    old.signal("TERM");
+    assert_eq!(old.ended().await, Some(0));
+    // the share comes back whole: as many silent clients are held as before
+    let start = Instant::now();
+    while held(&new) + 4 < alone {
+        assert!(start.elapsed() < Duration::from_secs(10), "{} of {alone}", held(&new));
+        crowd.push(Client::new(&platform.clients()).await);
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[rstest]
 #[case::cut_short("{\"version\":1,\"ord")]
 #[case::another_version("{\"version\":99,\"orders\":{}}")]
