--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -275,6 +275,8 @@
     pub succeeded: watch::Sender<bool>,
     /// The path is to be taken (anew).
     pub path: Notify,
+    /// The path is this process's, unless another has come since. Guards against a process that meets itself.
+    pub owner: AtomicBool,
 }
 
 impl Handover {
@@ -299,6 +301,7 @@
             }
             sleep(LOOK).await;
         }
+        self.owner.store(true, Ordering::Relaxed);
         tokio::spawn(self.clone().welcome());
         tokio::spawn(async move {
             let (taken, word) = oneshot::channel();
@@ -321,8 +324,7 @@
         while let Some(Meeting { read, buffer, write: Some(write), .. }) = meeting.take() {
             self.converse(Other::Before, read, buffer, write, told.take()).await;
             info!("the process before this one has ended");
-            // the path is this process's own by then, unless a third has come, or this one isn't ready yet
-            if !self.upkeep.serves() || *self.succeeded.borrow() {
+            if !self.owner.load(Ordering::Relaxed) || *self.succeeded.borrow() {
                 meeting = self.room.meet().await;
             }
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -289,6 +289,7 @@
         ending: shared.ending.clone(),
         succeeded: succeed,
         path: Notify::new(),
+        owner: false.into(),
     });
     let handover = handover.map(|handover| (Arc::new(handover), before));
     Ok(Router { admin: admin.map(|l| (upkeep, l)), handover, platform, batch, shared, reload })
--- a/src/upkeep.rs
+++ b/src/upkeep.rs
@@ -229,7 +229,7 @@
     }
 
     /// Whether this process serves, as far as a process before it is concerned.
-    pub fn serves(&self) -> bool {
+    fn serves(&self) -> bool {
         self.serves.load(Ordering::Relaxed)
     }
 
