--- a/tests/program.rs
+++ b/tests/program.rs
@@ -107,6 +107,19 @@
     .unwrap()
 }
 
+#[test]
+fn check_tells_where_operators_call() {
+    let file = Scratch::new("admin", &config_text(&[], None));
+    for (given, says) in [(None, "127.0.0.1:0"), (Some("127.0.0.1:9090"), "127.0.0.1:9090")] {
+        let mut command = program();
+        command.args(["check", "--config"]).arg(&file.0).env_remove("GW_ADMIN");
+        command.envs(given.map(|at| ("GW_ADMIN", at)));
+        let output = command.output().unwrap();
+        let told = String::from_utf8_lossy(&output.stdout).into_owned();
+        assert!(told.contains(&format!("operators' address: {says}\n")), "{told}");
+    }
+}
+
 #[tokio::test]
 async fn sigterm_answers_what_was_taken_and_ends_with_0() {
     let slow = [vec![Step::Sleep(150)], answer("x")].concat();
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -173,6 +173,9 @@
     let old = platform.start().await;
     old.ready().await;
     assert_eq!(old.call("POST", "/model-servers/disable?name=s-a").await, 200);
+    // a configuration read anew changes no order
+    old.signal("HUP");
+    old.says("SIGHUP").await;
     let new = platform.start().await;
     new.ready().await;
     // in the overlap each honours what is asked of the other
