Of two successors the one that goes takes nothing from the one that serves

Found by reading the change again: when a second successor died, the old process took the path back and forgot that the first had taken over, so SIGTERM would linger beside it. converse() now says whether the process that ended had taken over.

--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -376,8 +376,9 @@
         if send(&mut write, &Message::Met { orders, list }).await.is_err() {
             return;
         }
-        self.converse(Other::After, read, buffer, write, None).await;
-        if !*self.ending.borrow() {
+        let took_over = self.converse(Other::After, read, buffer, write, None).await;
+        // guards against a path taken back from one of two that goes on serving
+        if !*self.ending.borrow() && (took_over || !*self.succeeded.borrow()) {
             warn!("the process that came to take over has gone; this one goes on");
             self.succeeded.send_replace(false);
             self.upkeep.succeeded(false);
@@ -385,7 +386,7 @@
         }
     }
 
-    /// Exchanges messages until the other process ends.
+    /// Exchanges messages until the other process ends; whether it had taken over.
     async fn converse(
         &self,
         other: Other,
@@ -393,7 +394,8 @@
         mut buffer: Buffer,
         mut write: OwnedWriteHalf,
         mut told: Option<oneshot::Receiver<oneshot::Sender<()>>>,
-    ) {
+    ) -> bool {
+        let mut took_over = false;
         let (to, mut from) = mpsc::channel::<Message>(MAILBOX);
         let writer = async {
             while let Some(message) = from.recv().await {
@@ -450,6 +452,7 @@
                             }
                             Message::Ready if other == Other::After => {
                                 info!("another process has taken over");
+                                took_over = true;
                                 self.succeeded.send_replace(true);
                                 self.upkeep.succeeded(true);
                                 Some(Message::Taken)
@@ -505,6 +508,7 @@
         }
         // the other has gone: what it was given is this process's again
         self.shares.grow(ceded);
+        took_over
     }
 }
 
