--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -405,6 +405,7 @@
             }
         };
         let (key, mut forwards) = self.upkeep.join();
+        // holds no more than there are places to give; a send that waited could lose one when this ends
         let (given, mut shares) = mpsc::unbounded_channel();
         let mut ceded = [0; 3];
         let ceding = async {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -51,6 +51,19 @@
     got.head.status == 200
 }
 
+/// Discovery that tells one list a call, each once the test opens the gate, and then nothing more.
+async fn telling(news: [serde_json::Value; 5]) -> Peer {
+    let told = news.map(|list| list.to_string());
+    peer(move |n, _, _| match told.get(n) {
+        Some(list) => vec![
+            Step::Gate,
+            Step::Write(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())),
+        ],
+        None => vec![Step::Hang],
+    })
+    .await
+}
+
 #[tokio::test]
 async fn each_request_is_counted_once_whichever_way_it_ends() {
     let broken = vec![Step::Write(format!("{STREAM}{}", chunk(&event("half")))), Step::Close];
@@ -157,15 +170,7 @@
         list(5, true, &[("s-a", at_a, "SERVING"), ("s-b", at_b, "SERVING")]),
         list(6, false, &[("s-a", at_c, "SERVING")]),
     ];
-    let told = news.map(|list| list.to_string());
-    let discovery = peer(move |n, _, _| match told.get(n) {
-        Some(list) => vec![
-            Step::Gate,
-            Step::Write(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())),
-        ],
-        None => vec![Step::Hang],
-    })
-    .await;
+    let discovery = telling(news).await;
     let both = [("s-a", at_a, "SERVING"), ("s-b", at_b, "SERVING")];
     let router = route(config(&both, Some(&discovery.address))).await;
     until("the watch", || discovery.requests() == 1).await;
@@ -250,15 +255,7 @@
         list(6, true, &[]),
         list(7, true, &[("s-b", at_b, "SERVING")]),
     ];
-    let told = news.map(|list| list.to_string());
-    let discovery = peer(move |n, _, _| match told.get(n) {
-        Some(list) => vec![
-            Step::Gate,
-            Step::Write(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())),
-        ],
-        None => vec![Step::Hang],
-    })
-    .await;
+    let discovery = telling(news).await;
     let both = [("s-a", at_a, "SERVING"), ("s-b", at_b, "SERVING")];
     let router = route(config(&both, Some(&discovery.address))).await;
     until("the watch", || discovery.requests() == 1).await;
