--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -116,6 +116,34 @@
     assert!((most as f64) <= rule, "{most} sends to one cold replica in its window, {rule} allowed");
 }
 
+/// While one process of a gateway replaces another both are told that there is one gateway, and share its clients: a cold
+/// replica gets no more from the two than from the one, and its rule holds for their sum.
+#[test]
+fn two_processes_of_one_gateway_send_a_cold_replica_no_more_than_one() {
+    let mut entries: Vec<Entry> = (0..30).map(entry).collect();
+    entries.extend((30..40).map(cold));
+    let set = Settings { instances: 1, ..rules() };
+    let sent = |processes: u64| {
+        let mut fleet = Fleet::new(&set, &entries);
+        for seed in 1..processes {
+            let mut gateway =
+                Gateway { balancer: stilespan::Balancer::new(set.clone(), seed, START), now: START };
+            gateway.step(0, vec![list(ListKind::Persisted, entries.clone())]);
+            fleet.gateways.push(gateway);
+        }
+        // a hundred requests a second in all, for three seconds
+        for _ in 0..300 / processes {
+            fleet.round(Dur(10_000 * processes));
+        }
+        let to_cold = fleet.sent.iter().filter(|s| s.2 >= 30).count();
+        (to_cold, fleet.most(Dur(1_500_000), |to| to >= 30))
+    };
+    let (one, two) = (sent(1), sent(2));
+    assert!(one.0 >= 20, "{one:?}");
+    assert!(two.0 as f64 <= 1.3 * one.0 as f64, "{one:?} {two:?}");
+    assert!(two.1 as f64 <= 4.0 * 0.5 * 2.5 * 1.5, "{one:?} {two:?}");
+}
+
 /// A fleet that is all cold, and one with a single warm replica left, met by gateways that have sent nothing:
 /// together they stay under the rule, and each request is sent or refused, at once where
 /// no warm replica is left to wait for.
