Where discovery pushes, the resolver watches its agent from the start and after failures

On sockets a push is an agent beside the router, whose news count as told as it has them, so nobody ever called it. Ruled out: a slow core mailbox, a socket budget that held the attempt's first byte (no such waits in the logs), a resolver error that ended the watch (no warning logged). Change: resolver::Options has `pushed` (from the settings' discovery mode, no site name); such a resolver watches at once and calls again 100 ms after a failed call. Test: the agent fails its first call, then tells a drain; the drained server gets nothing (fails without the mend).

--- a/src/net/resolver.rs
+++ b/src/net/resolver.rs
@@ -25,6 +25,9 @@
 const SLACK: Duration = Duration::from_secs(1);
 /// A list holds so much at most.
 const MAX_LIST: usize = 4 << 20;
+/// Where discovery pushes, the pause before the agent is called again after a failed call. Guards against a tight
+/// loop at an agent that refuses at once; short beside any drain bound, as news count as told when the agent has them.
+const AGAIN: Duration = Duration::from_millis(100);
 
 /// A list as discovery and the configuration write it.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -128,6 +131,9 @@
     pub localities: Vec<String>,
     /// The list is watched from the start: another process of this router did, and the watch goes on.
     pub watch: bool,
+    /// Discovery pushes: what an agent beside the router holds counts as told, so it is watched all the time, from
+    /// the start and again after a failed call. Where the router asks, the module says when.
+    pub pushed: bool,
     /// Where the list is shown as it is held, for a process that follows this one.
     pub show: Option<watch::Sender<Option<RawList>>>,
 }
@@ -176,7 +182,7 @@
     let held = shown.map(|list| list.members).unwrap_or_default();
     let held = held.into_iter().map(|host| (host.id.clone(), host)).collect();
     let mut resolver = Resolver { options, whole: false, held, connection: None };
-    let mut first = resolver.options.watch.then_some(ListOrder::Watch);
+    let mut first = (resolver.options.watch || resolver.options.pushed).then_some(ListOrder::Watch);
     loop {
         let order = match first.take() {
             Some(order) => Some(order),
@@ -247,7 +253,9 @@
             if mail.send(Mail::Resolved(news)).await.is_err() {
                 return;
             }
-            if failed {
+            if failed && resolver.options.pushed {
+                tokio::time::sleep(AGAIN).await;
+            } else if failed {
                 break;
             }
         }
--- a/src/router.rs
+++ b/src/router.rs
@@ -245,6 +245,7 @@
                 revision,
                 localities: config.localities.clone(),
                 watch: before.is_some(),
+                pushed: !config.settings.ask,
                 show: room.is_some().then_some(show),
             };
             tokio::spawn(resolver::run(options, asked, mail));
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -228,6 +228,30 @@
     assert_eq!(a.requests(), 0);
 }
 
+/// Where discovery pushes, nobody orders a watch: the agent beside the router is watched from the start and again
+/// after a failed call, so that a drain it holds reaches the module.
+#[tokio::test]
+async fn an_agent_that_pushes_is_watched_from_the_start_and_after_a_failure() {
+    let (a, b) = (peer(|_, _, _| answer("a")).await, peer(|_, _, _| answer("b")).await);
+    let drain = list(2, false, &[("s-a", &a.address, "DRAINING")]).to_string();
+    let discovery = peer(move |n, _, _| {
+        let text =
+            if n == 1 { drain.clone() } else { r#"{"revision":2,"complete":false,"members":[]}"#.into() };
+        let write = Step::Write(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()));
+        if n == 0 { plain("503 Busy", "") } else { vec![Step::Sleep(30), write] }
+    })
+    .await;
+    let hosts = [("s-a", a.address.as_str(), "SERVING"), ("s-b", b.address.as_str(), "SERVING")];
+    let mut config = config(&hosts, Some(&discovery.address));
+    config.settings.ask = false;
+    let router = route(config).await;
+    until("the watch goes on after a failure", || discovery.requests() > 4).await;
+    for _ in 0..8 {
+        assert!(ask(&router.platform, "hint", 1000).await.body.contains("\"b\""));
+    }
+    assert_eq!(a.requests(), 0);
+}
+
 /// An answer of discovery that never arrives: the watch is begun anew soon, as its news count as told.
 #[tokio::test]
 async fn a_watch_that_falls_silent_is_begun_anew_soon() {
