--- a/tests/router.rs
+++ b/tests/router.rs
@@ -204,34 +204,13 @@
     assert_eq!(Client::new(&router.platform).await.call(health).await.head.status, 503);
 }
 
+/// The watch goes on after a failed call and a drain reaches the module: where it asks, because the module asks
+/// again; where discovery pushes, nobody orders a watch and the agent beside the router is watched all the same.
+#[rstest]
+#[case::asked(true)]
+#[case::pushed(false)]
 #[tokio::test]
-async fn the_watch_goes_on_and_a_drained_server_gets_nothing_new() {
-    let (a, b) = (peer(|_, _, _| answer("a")).await, peer(|_, _, _| answer("b")).await);
-    let drain = list(2, false, &[("s-a", &a.address, "DRAINING")]).to_string();
-    let discovery = peer(move |n, _, _| {
-        let text =
-            if n == 0 { drain.clone() } else { r#"{"revision":2,"complete":false,"members":[]}"#.into() };
-        let write = Step::Write(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()));
-        if n == 2 { plain("503 Busy", "") } else { vec![Step::Sleep(30), write] }
-    })
-    .await;
-    let hosts = [("s-a", a.address.as_str(), "SERVING"), ("s-b", b.address.as_str(), "SERVING")];
-    let router = route(config(&hosts, Some(&discovery.address))).await;
-    // the third call fails; the module asks again by itself
-    until("the watch goes on after a failure", || discovery.requests() > 5).await;
-    let targets: Vec<_> = discovery.seen.lock().unwrap().iter().map(|(h, _)| h.target.clone()).collect();
-    assert!(targets[0].starts_with("/catalog/members?after=1&wait_ms="), "{targets:?}");
-    assert!(targets[1].starts_with("/catalog/members?after=2&"), "{targets:?}");
-    for _ in 0..8 {
-        assert!(ask(&router.platform, "hint", 1000).await.body.contains("\"b\""));
-    }
-    assert_eq!(a.requests(), 0);
-}
-
-/// Where discovery pushes, nobody orders a watch: the agent beside the router is watched from the start and again
-/// after a failed call, so that a drain it holds reaches the module.
-#[tokio::test]
-async fn an_agent_that_pushes_is_watched_from_the_start_and_after_a_failure() {
+async fn the_watch_goes_on_and_a_drained_server_gets_nothing_new(#[case] asked: bool) {
     let (a, b) = (peer(|_, _, _| answer("a")).await, peer(|_, _, _| answer("b")).await);
     let drain = list(2, false, &[("s-a", &a.address, "DRAINING")]).to_string();
     let discovery = peer(move |n, _, _| {
@@ -243,9 +222,12 @@
     .await;
     let hosts = [("s-a", a.address.as_str(), "SERVING"), ("s-b", b.address.as_str(), "SERVING")];
     let mut config = config(&hosts, Some(&discovery.address));
-    config.settings.ask = false;
+    config.settings.ask = asked;
     let router = route(config).await;
     until("the watch goes on after a failure", || discovery.requests() > 4).await;
+    let targets: Vec<_> = discovery.seen.lock().unwrap().iter().map(|(h, _)| h.target.clone()).collect();
+    assert!(targets[0].starts_with("/catalog/members?after=1&wait_ms="), "{targets:?}");
+    assert!(targets[2].starts_with("/catalog/members?after=2&"), "{targets:?}");
     for _ in 0..8 {
         assert!(ask(&router.platform, "hint", 1000).await.body.contains("\"b\""));
     }
