Failed discovery calls in a row are warned of at the 1st, 2nd, 4th, 8th; the rest at debug

Need: where discovery pushes, the resolver calls an agent that refuses at once again every 100 ms, and each failure was a warning: ten lines a second for as long as the agent is down. Change: the resolver counts failed calls in a row (reset by an answer); the 1st, 2nd, 4th, 8th and so on are warnings that say how many, the others are debug lines. Where the router asks, the module spaces its calls, and the same rule costs nothing. Unit test of which failures are loud; it fails with the rule made always-loud.

--- a/src/net/resolver.rs
+++ b/src/net/resolver.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use super::http::Buffer;
 use super::subchannel::read_whole;
@@ -145,6 +145,8 @@
     /// The list as it is held, where somebody is shown it.
     held: BTreeMap<String, RawHost>,
     connection: Option<(TcpStream, Buffer)>,
+    /// Failed calls in a row.
+    failures: u32,
 }
 
 /// Why a call brought no list.
@@ -181,7 +183,7 @@
     let shown = options.show.as_ref().and_then(|show| show.borrow().clone());
     let held = shown.map(|list| list.members).unwrap_or_default();
     let held = held.into_iter().map(|host| (host.id.clone(), host)).collect();
-    let mut resolver = Resolver { options, whole: false, held, connection: None };
+    let mut resolver = Resolver { options, whole: false, held, connection: None, failures: 0 };
     let mut first = (resolver.options.watch || resolver.options.pushed).then_some(ListOrder::Watch);
     loop {
         let order = match first.take() {
@@ -237,13 +239,23 @@
                     continue;
                 }
                 Ok(Ok(list)) => {
+                    resolver.failures = 0;
                     resolver.hold(&list);
                     (resolver.options.revision, resolver.whole) = (list.revision, false);
                     let kind = if list.complete { ListKind::Complete } else { ListKind::Partial };
                     Some(list.resolved(kind, &resolver.options.localities))
                 }
                 Ok(Err(e)) => {
-                    warn!("discovery at {}: {e}", resolver.options.address);
+                    resolver.failures = resolver.failures.saturating_add(1);
+                    let address = &resolver.options.address;
+                    if loud(resolver.failures) {
+                        warn!(
+                            "discovery at {address}: {e} ({} calls in a row have failed)",
+                            resolver.failures
+                        );
+                    } else {
+                        debug!("discovery at {address}: {e}");
+                    }
                     resolver.connection = None;
                     None
                 }
@@ -262,6 +274,12 @@
     }
 }
 
+/// Whether a failure in a row is told as a warning: the 1st, 2nd, 4th, 8th and so on. Guards against a log that an
+/// agent which refuses at once, called again every `AGAIN`, would fill ten lines a second.
+fn loud(failures: u32) -> bool {
+    failures.is_power_of_two()
+}
+
 impl Resolver {
     /// Keeps the list as it is held, for whoever is shown it.
     fn hold(&mut self, list: &RawList) {
@@ -322,3 +340,12 @@
         Ok(list)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn failures_in_a_row_are_warned_of_ever_more_rarely() {
+        let loud: Vec<u32> = (1..=1000).filter(|&n| super::loud(n)).collect();
+        assert_eq!(loud, [1, 2, 4, 8, 16, 32, 64, 128, 256, 512]);
+    }
+}
