--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 mod open;
 pub mod ops;
 pub mod policy;
+mod replica;
 pub mod router;
 pub mod routing;
 pub mod sight;
--- /dev/null
+++ b/src/policy/maturity.rs
@@ -0,0 +1,111 @@
+//! When a replica matures, and how much it then takes: its slack budget and the estimates behind it.
+
+use super::*;
+
+/// The delay until a replica matures again: prefill `tp`, and the steps of `td` that win it back, if they do.
+pub fn delay(tp: f64, pace: f64, td: f64) -> Option<f64> {
+    (pace > td).then(|| tp + tp / (pace - td) * td)
+}
+
+/// The largest budget x of tokens whose delay, plus a just arriving request's prefill `next`, keeps `aim`.
+pub fn budget(line: Line, next: f64, aim: f64, pace: f64, td: f64) -> f64 {
+    let tp = (aim - next) * (pace - td) / pace;
+    if pace > td && tp > line.b { (tp - line.b) / line.a.max(1e-9) } else { 0.0 }
+}
+
+impl Balancer {
+    /// Files a replica under the mature or by its maturity.
+    pub(super) fn place(&mut self, k: usize) {
+        let maturity = self.replicas[k].maturity;
+        if let Some(at) = self.replicas[k].place.take() {
+            self.mature.swap_remove(at);
+            if let Some(&moved) = self.mature.get(at) {
+                self.replicas[moved].place = Some(at);
+            }
+        }
+        if !self.replicas[k].usable() {
+        } else if maturity <= self.now {
+            self.replicas[k].place = Some(self.mature.len());
+            self.mature.push(k);
+        } else {
+            self.later.insert((maturity, k));
+        }
+    }
+
+    pub(super) fn mature_at(&mut self, k: usize, at: Time) {
+        self.later.remove(&(self.replicas[k].maturity, k));
+        self.replicas[k].maturity = at;
+        self.place(k);
+    }
+
+    pub(super) fn promote(&mut self) {
+        while let Some(&(at, k)) = self.later.first()
+            && at <= self.now
+        {
+            self.later.pop_first();
+            self.place(k);
+        }
+    }
+
+    /// Puts off the maturity of a replica that has failed: each failure in a row doubles the wait, from
+    /// what it cost or the delay of one ordinary request.
+    pub(super) fn fault(&mut self, k: usize, waited: f64) {
+        let least = self.prior.at(self.tokens);
+        let replica = &mut self.replicas[k];
+        replica.failures = (replica.failures + 1).min(6);
+        let wait = least.max(waited) * f64::from(1 << replica.failures);
+        let at = (self.now + Dur::from_secs(wait)).max(replica.maturity);
+        self.mature_at(k, at);
+    }
+
+    /// The least of a figure over the classes with requests among these counts.
+    pub(super) fn strictest(&self, counts: &[u32], of: fn(&Class) -> Dur) -> f64 {
+        let some = counts.iter().zip(&self.set.classes).filter(|(n, _)| **n > 0);
+        some.map(|(_, c)| of(c).secs()).fold(f64::INFINITY, f64::min)
+    }
+
+    /// The strictest pace of our requests on a replica, else of those held.
+    pub(super) fn pace_on(&self, k: usize) -> f64 {
+        let running = self.strictest(&self.replicas[k].streams, |c| c.pace);
+        if running.is_finite() {
+            running
+        } else {
+            self.strictest(&self.held, |c| c.pace).min(self.pace * 1e3)
+        }
+    }
+
+    /// Td: the time of a replica's decode step.
+    pub(super) fn td_on(&self, k: usize) -> f64 {
+        (self.reach * self.fleet_step() * self.slowness(k)).max(self.pace / 2.0)
+    }
+
+    /// How slow a replica's steps are beside the fleet's; kept longer, as kinds don't change.
+    pub(super) fn slowness(&self, k: usize) -> f64 {
+        let weight = self.answer * self.fleet_step();
+        self.replicas[k].steps.at(self.now, SLOW_FADE * self.fade).step(1.0, weight)
+    }
+
+    pub(super) fn fleet_step(&self) -> f64 {
+        self.steps.at(self.now, self.fade).step(self.pace / 2.0 / self.reach, PRIOR * self.answer)
+    }
+
+    /// The fleet's fit as it stands. Without new first tokens it goes back to where it began: guards against
+    /// a fit beyond every aim, which lets nothing out that could mend it.
+    pub(super) fn prior(&self) -> Line {
+        self.prior.towards(self.start, (self.now - self.prior_at).secs() / self.fade)
+    }
+
+    pub(super) fn line_on(&self, k: usize) -> Line {
+        let (line, at) = self.replicas[k].line;
+        let slow = self.replicas[k].sight.slowness(&self.means, self.now, SLOW_FADE * self.fade);
+        // guards against a replica new to this gateway that stands as all do, whatever its report has told
+        let age = if self.replicas[k].seen { (self.now - at).secs() / self.fade } else { f64::INFINITY };
+        line.towards(self.prior().times(slow), age)
+    }
+
+    pub(super) fn budget_of(&self, k: usize) -> f64 {
+        let aim = self.strictest(&self.held, |c| c.aim);
+        let line = self.line_on(k);
+        budget(line, line.at(self.tokens), aim, self.pace_on(k), self.td_on(k))
+    }
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,174 @@
+//! Every decision of the router: the maturity and slack-budget dispatch of HFX (the design page), and what it
+//! needs around it. Settings, events, actions, ids and times are named in `src/interface.rs`. No I/O.
+
+use std::collections::BTreeSet;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rustc_hash::FxHashMap;
+
+pub use crate::fit::{Fit, Line};
+use crate::fit::{PRIOR, Steps};
+use crate::interface::*;
+use crate::memory::{Recent, Ring};
+use crate::open::{Attempt, Phase, Request};
+use crate::replica::Replica;
+use crate::sight::Means;
+use admission::Admission;
+
+pub use maturity::{budget, delay};
+
+mod admission;
+mod attempts;
+mod choice;
+mod maturity;
+mod members;
+mod requests;
+
+/// A replica's slowness beside the fleet fades so much later than the fleet's step.
+const SLOW_FADE: f64 = 4.0;
+/// Stream times fade over so many first-token aims, about as long as a stream runs.
+const FADE: f64 = 4.0;
+/// Weight of a new sample in a running mean: about the last eight count.
+const NEW: f64 = 1.0 / 8.0;
+/// How long of an aim the load of replicas that were asked for theirs is awaited.
+const ASK_PART: f64 = 1.0 / 16.0;
+
+/// The balancer of one gateway.
+pub struct Balancer {
+    set: Settings,
+    rng: StdRng,
+    now: Time,
+    replicas: Vec<Replica>,
+    index: FxHashMap<ReplicaId, usize>,
+    ring: Ring,
+    mature: Vec<usize>,
+    later: BTreeSet<(Time, usize)>,
+    requests: FxHashMap<RequestId, Request>,
+    queue: BTreeSet<(Time, RequestId)>,
+    held: Vec<u32>,
+    used: Vec<usize>,
+    fleet: Fit,
+    start: Line,
+    prior: Line,
+    prior_at: Time,
+    tokens: f64,
+    pace: f64,
+    fade: f64,
+    sessions: Recent<u64, (ReplicaId, u32)>,
+    prefixes: Recent<(u64, ReplicaId), ()>,
+    trust: [f64; 4],
+    caps: Vec<u32>,
+    answer: f64,
+    reach: f64,
+    steps: Steps,
+    admission: Admission,
+    size: f64,
+    means: Means,
+    all_warm: Time,
+    ask_at: Option<Time>,
+    ask_failures: u32,
+    timer: Option<Time>,
+}
+
+impl Balancer {
+    /// A balancer that knows nothing yet.
+    pub fn new(set: Settings, seed: u64, now: Time) -> Balancer {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let pace = set.classes.iter().map(|c| c.pace.secs()).fold(f64::INFINITY, f64::min);
+        let per_1000 = set.classes.iter().map(|c| c.aim_per_1000.secs()).fold(0.0, f64::max);
+        // the aims allow for reading, so their part per token is a first guess of its cost; a step is a pace,
+        // and far within the aim where none is told
+        let admission = Admission::new(&set, now);
+        let b = pace.min(admission.aim / 8.0);
+        let start = Line { a: per_1000.max(b / 8.0) / 1000.0, b };
+        // spread over a quarter of the time allowed, so that gateways that start together don't call together
+        let ask_at = set.ask.then(|| now + Dur(rng.random_range(0..=set.must_ask_in.0 / 4)));
+        Balancer {
+            rng,
+            now,
+            replicas: Vec::new(),
+            index: FxHashMap::default(),
+            ring: Ring::default(),
+            mature: Vec::new(),
+            later: BTreeSet::new(),
+            requests: FxHashMap::default(),
+            queue: BTreeSet::new(),
+            held: vec![0; set.classes.len()],
+            used: Vec::new(),
+            fleet: Fit::default(),
+            start,
+            prior: start,
+            prior_at: now,
+            tokens: 1000.0,
+            pace,
+            fade: FADE * admission.aim,
+            sessions: Recent::default(),
+            prefixes: Recent::default(),
+            trust: [0.0, 1.0, 1.0, 1.0],
+            caps: vec![0; set.classes.len()],
+            answer: 100.0,
+            reach: 1.0,
+            steps: Steps::default(),
+            admission,
+            size: 1.0,
+            means: Means::default(),
+            all_warm: now,
+            ask_at,
+            ask_failures: 0,
+            timer: None,
+            set,
+        }
+    }
+
+    /// Replicas that it keeps anything of, listed or not.
+    pub fn remembered(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// Listed replicas that it avoids now: those not in service, and those put off after failures.
+    pub fn avoided(&self) -> usize {
+        let listed = self.replicas.iter().filter(|r| r.listed && r.entry.state != State::Terminated);
+        listed.filter(|r| !r.usable() || (r.failures > 0 && r.maturity > self.now)).count()
+    }
+
+    /// Takes in all events of a batch, then releases what can go.
+    pub fn step(&mut self, now: Time, events: &[Event], out: &mut Vec<Action>) {
+        self.now = now;
+        for event in events {
+            self.take(event, out);
+        }
+        if self.ask_at.take_if(|at| *at <= now).is_some() {
+            out.push(Action::Watch);
+        }
+        self.release(out);
+        self.wake(out);
+    }
+
+    fn take(&mut self, event: &Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Members { kind, entries } => self.members(*kind, entries, out),
+            Event::Request(arrival) => self.arrive(*arrival, out),
+            Event::First { request, trial, took } => self.first(*request, *trial as usize, *took),
+            Event::Gone { request } => self.gone(*request),
+            Event::Ended { .. } => self.ended(event, out),
+            Event::Timer { .. } => self.timer = self.timer.filter(|&t| t > self.now),
+            &Event::Probed { replica, outcome, report, .. } => self.probed(replica, outcome, report),
+            Event::Peer { .. } => {}
+        }
+    }
+
+    /// Asks to be woken when the next thing falls due.
+    fn wake(&mut self, out: &mut Vec<Action>) {
+        let (head, later) = (self.queue.first(), self.later.first());
+        let soon = Dur::from_secs((self.pace / 2.0).min(ASK_PART * self.admission.aim));
+        let soon = head.filter(|_| !self.mature.is_empty()).map(|_| self.now + soon);
+        let next = [self.ask_at, soon, head.map(|h| h.0), later.filter(|_| head.is_some()).map(|l| l.0)];
+        let at = next.into_iter().flatten().min();
+        let Some(at) = at.map(|t| t.max(self.now + self.set.period)) else { return };
+        if self.timer.is_none_or(|t| t > at) {
+            self.timer = Some(at);
+            out.push(Action::Timer { at, mark: 0 });
+        }
+    }
+}
