Rig for tests: several processes of the program with faults on every link between them

Need: how processes behave together when parts fail was shown by hand-made peers in one process only.

Change: crates/lab starts real processes with stand-in model servers and a discovery, a relay on each link (stall, one-way, cut, delay, drops), SIGSTOP, SIGKILL and restarts. Scenarios are TOML with a seed; the same seed makes the same schedule. Checkers read the stand-ins' and the clients' records, and each has a test that finds what it is for. HTTP on both sides of it is axum's and reqwest's. The whole check covers all workspace crates now.

Checked: seven unit tests; link faults on real sockets.

--- /dev/null
+++ b/crates/lab/src/process.rs
@@ -0,0 +1,105 @@
+//! A real process of the program, with its configuration in a folder of its own.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::rig::LabError;
+
+/// A process is ready within this, or something is wrong with it.
+const READY: Duration = Duration::from_secs(20);
+
+/// A process; it is killed when it is dropped.
+pub struct Process {
+    /// Where its clients connect.
+    pub listen: SocketAddr,
+    program: PathBuf,
+    folder: PathBuf,
+    child: Child,
+}
+
+impl Process {
+    /// Starts the program in this folder and waits until it is ready.
+    pub async fn start(program: &Path, folder: &Path, config: &Value) -> Result<Process, LabError> {
+        std::fs::create_dir_all(folder)?;
+        // free a moment ago; nobody else on this machine is told of it
+        let listen = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let mut config = config.clone();
+        config["listen"] = json!(listen.to_string());
+        std::fs::write(folder.join("config.json"), config.to_string())?;
+        let child = spawn(program, folder)?;
+        let process = Process { listen, program: program.into(), folder: folder.into(), child };
+        process.ready().await?;
+        Ok(process)
+    }
+
+    /// Starts it anew, with the same configuration and address.
+    pub fn restart(&mut self) -> Result<(), LabError> {
+        self.kill();
+        self.child = spawn(&self.program, &self.folder)?;
+        Ok(())
+    }
+
+    /// Kills it, and waits until it is gone.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops it where it stands.
+    pub fn stop(&self) -> Result<(), LabError> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Wakes it.
+    pub fn wake(&self) -> Result<(), LabError> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Whether it has ended by itself.
+    pub fn ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), LabError> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or(LabError::Gone)?;
+        kill_process(pid, signal).map_err(|e| LabError::Io(e.into()))
+    }
+
+    async fn ready(&self) -> Result<(), LabError> {
+        let start = Instant::now();
+        let url = format!("http://{}/_health", self.listen);
+        while start.elapsed() < READY {
+            if reqwest::get(&url).await.is_ok_and(|got| got.status() == 200) {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+        Err(LabError::NeverReady(log))
+    }
+}
+
+fn spawn(program: &Path, folder: &Path) -> Result<Child, LabError> {
+    let log = File::options().create(true).append(true).open(folder.join("log"))?;
+    let mut command = Command::new(program);
+    command.arg("serve").arg("--config").arg(folder.join("config.json"));
+    for name in ["GW_CONFIG", "GW_LISTEN", "GW_DISCOVERY", "GW_NAME", "GW_ADMIN", "GW_FD", "RUST_LOG"] {
+        command.env_remove(name);
+    }
+    command.env("TMPDIR", folder).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+    Ok(command.spawn()?)
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -222,6 +222,7 @@
             prompt,
             written: 0,
             end: End::Running,
+            begun: Instant::now(),
         };
         let trace = request.trace.clone().unwrap_or_default();
         let running = self.tally.begin(&trace, attempt, request.authorization);
--- a/crates/standins/src/tally.rs
+++ b/crates/standins/src/tally.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use tokio::time::Instant;
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -29,6 +31,8 @@
     pub written: u64,
     /// How it ended.
     pub end: End,
+    /// When it was here whole.
+    pub begun: Instant,
 }
 
 #[derive(Default)]
--- a/test.sh
+++ b/test.sh
@@ -2,7 +2,7 @@
 # The whole check: format, lints, tests, release build.
 set -euo pipefail
 cd "$(dirname "$0")"
-cargo fmt --check
-cargo clippy --locked --all-targets -- -D warnings
+cargo fmt --all --check
+cargo clippy --locked --workspace --all-targets -- -D warnings
 cargo build --release --locked
-cargo test --locked
+cargo test --locked --workspace
