Figures are written by the prometheus crate, with the names that operators' pages fix

Need: text format, escaping and families were hand-made.

Names, classes and states from 0 on are as before, by the same tests.

--- a/src/ops/figures.rs
+++ b/src/ops/figures.rs
@@ -1,8 +1,9 @@
 //! The figures that operators read: counted where things happen, read without asking anybody.
 
-use std::fmt::Write;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use tracing::warn;
 
 /// How an RPC ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,95 +21,92 @@
 /// The states in their order, as they are written.
 const STATES: [&str; 4] = ["answered", "deferred", "errored", "gone"];
 
-/// A router's figures, from 0 at its start.
-#[derive(Debug, Default)]
+/// A router's figures, from 0 at its start. The text format, its escaping and its families are the `prometheus`
+/// crate's; its sibling `prometheus-client` was weighed, and adds `_total` to counters' names, which operators' pages
+/// fix without it.
+#[derive(Debug)]
 pub struct Figures {
-    classes: Vec<String>,
-    ends: Vec<[AtomicU64; STATES.len()]>,
-    current: AtomicU64,
-    sends: AtomicU64,
-    listed: AtomicU64,
-    avoided: AtomicU64,
-    drained: AtomicU64,
-    successor: AtomicU64,
+    registry: Registry,
+    ends: Vec<[IntCounter; STATES.len()]>,
+    current: IntGauge,
+    sends: IntCounter,
+    listed: IntGauge,
+    avoided: IntGauge,
+    drained: IntGauge,
+    successor: IntGauge,
 }
 
 impl Figures {
     /// All at 0.
     pub fn new(classes: &[String]) -> Figures {
-        Figures {
-            classes: classes.to_vec(),
-            ends: classes.iter().map(|_| Default::default()).collect(),
-            ..Figures::default()
-        }
+        Figures::registered(Registry::new(), classes).expect("names that are fixed, each once")
+    }
+
+    fn registered(registry: Registry, classes: &[String]) -> prometheus::Result<Figures> {
+        let transactions = Opts::new("router_transactions", "Requests by class and how they ended.");
+        let transactions = IntCounterVec::new(transactions, &["group", "state"])?;
+        registry.register(Box::new(transactions.clone()))?;
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(format!("router_{name}"), help)?;
+            registry.register(Box::new(gauge.clone())).map(|()| gauge)
+        };
+        let sends = IntCounter::new("router_sends", "Call attempts written whole to model servers.")?;
+        registry.register(Box::new(sends.clone()))?;
+        let ends = |class: &String| STATES.map(|state| transactions.with_label_values(&[class, state]));
+        Ok(Figures {
+            ends: classes.iter().map(ends).collect(),
+            current: gauge("current", "Requests taken and not ended.")?,
+            sends,
+            listed: gauge("cluster_size", "Model servers in the list.")?,
+            avoided: gauge("cluster_unhealthy", "Listed model servers that are avoided now.")?,
+            drained: gauge("drained", "1 while the router is drained.")?,
+            successor: gauge("succeeded", "1 once another process has taken over.")?,
+            registry,
+        })
     }
 
     /// An RPC of this class was taken.
     pub fn take(self: &Arc<Self>, class: u32) -> Taken {
-        self.current.fetch_add(1, Ordering::Relaxed);
+        self.current.inc();
         Taken { figures: self.clone(), class: class as usize, end: End::Gone }
     }
 
     /// A call attempt was written whole to a model server.
     pub fn sent(&self) {
-        self.sends.fetch_add(1, Ordering::Relaxed);
+        self.sends.inc();
     }
 
     /// So many model servers are listed, and so many of them are avoided.
     pub fn fleet(&self, listed: usize, avoided: usize) {
-        self.listed.store(listed as u64, Ordering::Relaxed);
-        self.avoided.store(avoided as u64, Ordering::Relaxed);
+        self.listed.set(listed as i64);
+        self.avoided.set(avoided as i64);
     }
 
     /// Whether the router is drained.
     pub fn drained(&self, drained: bool) {
-        self.drained.store(drained.into(), Ordering::Relaxed);
+        self.drained.set(drained.into());
     }
 
     /// Whether a successor has taken over.
     pub fn succeeded(&self, succeeded: bool) {
-        self.successor.store(succeeded.into(), Ordering::Relaxed);
+        self.successor.set(succeeded.into());
     }
 
     /// How many RPCs are taken and not ended.
     pub fn current(&self) -> u64 {
-        self.current.load(Ordering::Relaxed)
+        self.current.get().try_into().unwrap_or(0)
     }
 
     /// The figures in the text format that Prometheus reads.
     pub fn text(&self) -> String {
-        let mut out = String::with_capacity(1024 + 256 * self.classes.len());
-        let head = |name: &str, kind: &str, help: &str| {
-            format!("# HELP router_{name} {help}\n# TYPE router_{name} {kind}\n")
-        };
-        out.push_str(&head("transactions", "counter", "Requests by class and how they ended."));
-        for (class, ends) in self.classes.iter().zip(&self.ends) {
-            for (state, n) in STATES.iter().zip(ends) {
-                let (class, n) = (escaped(class), n.load(Ordering::Relaxed));
-                let _ = writeln!(out, "router_transactions{{group=\"{class}\",state=\"{state}\"}} {n}");
-            }
-        }
-        let plain = [
-            ("sends", "counter", "Call attempts written whole to model servers.", &self.sends),
-            ("current", "gauge", "Requests taken and not ended.", &self.current),
-            ("cluster_size", "gauge", "Model servers in the list.", &self.listed),
-            ("cluster_unhealthy", "gauge", "Listed model servers that are avoided now.", &self.avoided),
-            ("drained", "gauge", "1 while the router is drained.", &self.drained),
-            ("succeeded", "gauge", "1 once another process has taken over.", &self.successor),
-        ];
-        for (name, kind, help, n) in plain {
-            out.push_str(&head(name, kind, help));
-            let _ = writeln!(out, "router_{name} {}", n.load(Ordering::Relaxed));
-        }
-        out
+        let families = self.registry.gather();
+        TextEncoder::new().encode_to_string(&families).unwrap_or_else(|e| {
+            warn!("the figures: {e}");
+            String::new()
+        })
     }
 }
 
-/// A label's value: backslash, quote and line feed are escaped.
-fn escaped(value: &str) -> String {
-    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
-}
-
 /// An RPC that was taken. It is counted once, when this is dropped.
 #[derive(Debug)]
 pub struct Taken {
@@ -126,9 +124,9 @@
 
 impl Drop for Taken {
     fn drop(&mut self) {
-        self.figures.current.fetch_sub(1, Ordering::Relaxed);
+        self.figures.current.dec();
         if let Some(ends) = self.figures.ends.get(self.class) {
-            ends[self.end as usize].fetch_add(1, Ordering::Relaxed);
+            ends[self.end as usize].inc();
         }
     }
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -35,7 +35,7 @@
         connector: Box::new(connector),
         resolver,
         bans: Vec::new(),
-        figures: Default::default(),
+        figures: stilespan::ops::figures::Figures::new(&[]).into(),
     }
 }
 
