A silent watch of the list is opened anew within 4.75 s, in fleets of any size

Cause: a watch that falls silent was given up 4 s after it began, and then the module's spread of calls after a failure applied: 1.5 to 3 s for 300 routers (5 ms for each, doubled). What it missed counts as told after 6 s; the next call came at 5.5 to 7.

Change: the first silence in a row opens the watch anew within 750 ms, at a moment of the router's own; what fails again is the module's to ask for, as before. Calls and lists stand in files of their own (`catalog`, `list`).

--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -15,7 +15,7 @@
 
 use crate::core::{Host, ListOrder, Mail, Resolved};
 use crate::interface::{Entry, ListKind, State, Time};
-use crate::net::resolver::zone;
+use crate::net::list::zone;
 use crate::wire::replica_id;
 
 /// How often the file is looked at.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -19,8 +19,8 @@
 
 use super::budget::Budget;
 use super::http::Buffer;
+use super::list::RawList;
 use super::listener::{LAST_CALL, turned};
-use super::resolver::RawList;
 use crate::core::ListOrder;
 use crate::interface::ListKind;
 use crate::ops::kept::Orders;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,9 +2,11 @@
 
 pub mod admin;
 pub mod budget;
+mod catalog;
 pub mod channel;
 pub mod handover;
 pub mod http;
+pub mod list;
 pub mod listener;
 pub mod resolver;
 pub mod subchannel;
--- a/src/net/resolver.rs
+++ b/src/net/resolver.rs
@@ -1,126 +1,24 @@
 //! The list's actor: watches discovery once the module asks for it, and turns its answers into resolver results.
 
 use std::collections::BTreeMap;
-use std::collections::hash_map::Entry;
 use std::time::Duration;
 
-use rustc_hash::FxHashMap;
-use serde::{Deserialize, Serialize};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
-use super::http::Buffer;
-use super::subchannel::read_whole;
-use crate::core::{Host, ListOrder, Mail, Resolved};
-use crate::interface::{ListKind, ReplicaId, State, Time};
-use crate::wire::replica_id;
+use super::catalog::{Catalog, Failure};
+use super::list::{RawHost, RawList};
+use crate::core::{ListOrder, Mail, Resolved};
+use crate::interface::ListKind;
 
-/// How long a watch waits at discovery. Short: guards against an answer that never arrives, whose news count as
-/// told soon after the wait's end all the same.
-const WAIT: Duration = Duration::from_secs(3);
-/// What an answer may take beyond that.
-const SLACK: Duration = Duration::from_secs(1);
-/// A list holds so much at most.
-const MAX_LIST: usize = 4 << 20;
+/// A watch that fell silent is opened anew within so long, at a moment of the router's own. Guards against news that
+/// count as told 6 s after the silence began and were never asked for (the wait, the slack and this make 4.75 s), and
+/// against all routers' calls at once where all their watches fell silent together.
+pub const REOPEN: Duration = Duration::from_millis(750);
 /// Where discovery pushes, the pause before the agent is called again after a failed call. Guards against a tight
 /// loop at an agent that refuses at once; short beside any drain bound, as news count as told when the agent has them.
 const AGAIN: Duration = Duration::from_millis(100);
 
-/// A list as discovery and the configuration write it.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct RawList {
-    revision: u64,
-    #[serde(default)]
-    complete: bool,
-    #[serde(default)]
-    members: Vec<RawHost>,
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct RawHost {
-    id: String,
-    host_port: String,
-    #[serde(default)]
-    locality: String,
-    #[serde(default)]
-    cell: u32,
-    phase: String,
-    #[serde(default = "one")]
-    size: f64,
-    #[serde(default)]
-    up_since_ms: u64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-impl RawList {
-    /// The resolver result that it stands for, with zones by their place among `localities`.
-    pub fn resolved(self, kind: ListKind, localities: &[String]) -> Resolved {
-        let host = |raw: RawHost| {
-            let state = match raw.phase.as_str() {
-                "SERVING" => State::InService,
-                "DRAINING" => State::Terminating,
-                "DELETED" => State::Terminated,
-                other => {
-                    // nothing is sent to a server of which it isn't known that it serves
-                    warn!("{}: phase {other:?} is not known; taken as draining", raw.id);
-                    State::Terminating
-                }
-            };
-            let zone = zone(&raw.locality, localities);
-            let entry = crate::interface::Entry {
-                replica: replica_id(&raw.id),
-                zone,
-                cell: raw.cell,
-                state,
-                started: Time(raw.up_since_ms.saturating_mul(1000)),
-                rating: raw.size,
-                ..Default::default()
-            };
-            Host { name: raw.id, address: raw.host_port, entry, models: None }
-        };
-        let mut hosts: Vec<Host> = Vec::with_capacity(self.members.len());
-        let mut places: FxHashMap<ReplicaId, usize> = FxHashMap::default();
-        for host in self.members.into_iter().map(host) {
-            match places.entry(host.entry.replica) {
-                Entry::Vacant(place) => {
-                    place.insert(hosts.len());
-                    hosts.push(host);
-                }
-                Entry::Occupied(place) => {
-                    // guards against sends to a server that the same list says is draining or gone
-                    warn!("{} stands twice in the list; the further of its phases counts", host.name);
-                    let first = &mut hosts[*place.get()];
-                    if host.entry.state > first.entry.state {
-                        *first = host;
-                    }
-                }
-            }
-        }
-        Resolved { kind, hosts }
-    }
-
-    /// Its version.
-    pub fn revision(&self) -> u64 {
-        self.revision
-    }
-}
-
-/// A zone's number: its place among the names, or a number or letter as written.
-pub fn zone(name: &str, names: &[String]) -> u32 {
-    let place = names.iter().position(|n| n == name).map(|k| k as u32);
-    let letter = || match name.as_bytes() {
-        [b @ b'a'..=b'z'] => Some(u32::from(b - b'a')),
-        _ => None,
-    };
-    place.or_else(|| name.parse().ok()).or_else(letter).unwrap_or(u32::MAX)
-}
-
 /// What the actor is started with.
 pub struct Options {
     /// Discovery's address.
@@ -134,6 +32,8 @@
     /// Discovery pushes: what an agent beside the router holds counts as told, so it is watched all the time, from
     /// the start and again after a failed call. Where the router asks, the module says when.
     pub pushed: bool,
+    /// How long after its end a silent watch is opened anew, up to [`REOPEN`]; spread over the routers.
+    pub reopen: Duration,
     /// Where the list is shown as it is held, for a process that follows this one.
     pub show: Option<watch::Sender<Option<RawList>>>,
 }
@@ -144,46 +44,20 @@
     whole: bool,
     /// The list as it is held, where somebody is shown it.
     held: BTreeMap<String, RawHost>,
-    connection: Option<(TcpStream, Buffer)>,
+    catalog: Catalog,
     /// Failed calls in a row.
     failures: u32,
 }
 
-/// Why a call brought no list.
-#[derive(Debug)]
-enum Failure {
-    Net(super::http::HttpError),
-    Status(u16),
-    List(serde_json::Error),
-    Late,
-}
-
-impl std::fmt::Display for Failure {
-    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
-        match self {
-            Failure::Net(e) => write!(out, "{e}"),
-            Failure::Status(status) => write!(out, "status {status}"),
-            Failure::List(e) => write!(out, "no list: {e}"),
-            Failure::Late => out.write_str("no answer in time"),
-        }
-    }
-}
-
-impl<E: Into<super::http::HttpError>> From<E> for Failure {
-    fn from(e: E) -> Failure {
-        Failure::Net(e.into())
-    }
-}
-
 /// Runs the actor. It calls discovery only while the module has asked for it: after a failed call the module
-/// says when to ask again. A new address is called at once, and for its whole list: another service's revisions
+/// says when to ask again, but for one that fell silent, which is opened anew once at once. A new address is called at once, and for its whole list: another service's revisions
 /// need not go on from the old one's. A call under way at the old address is given up; its answer, of a service
 /// that is going away, would hold the new list up until its wait has passed.
 pub async fn run(options: Options, mut asked: mpsc::Receiver<ListOrder>, mail: mpsc::Sender<Mail>) {
     let shown = options.show.as_ref().and_then(|show| show.borrow().clone());
     let held = shown.map(|list| list.members).unwrap_or_default();
     let held = held.into_iter().map(|host| (host.id.clone(), host)).collect();
-    let mut resolver = Resolver { options, whole: false, held, connection: None, failures: 0 };
+    let mut resolver = Resolver { options, whole: false, held, catalog: Catalog::default(), failures: 0 };
     let mut first = (resolver.options.watch || resolver.options.pushed).then_some(ListOrder::Watch);
     loop {
         let order = match first.take() {
@@ -225,6 +99,7 @@
                     }
                 }
             };
+            let mut silent = false;
             let news = match called {
                 Err(address) => {
                     resolver.move_to(address);
@@ -246,6 +121,7 @@
                     Some(list.resolved(kind, &resolver.options.localities))
                 }
                 Ok(Err(e)) => {
+                    silent = matches!(e, Failure::Late) && resolver.failures == 0;
                     resolver.failures = resolver.failures.saturating_add(1);
                     let address = &resolver.options.address;
                     if loud(resolver.failures) {
@@ -256,10 +132,14 @@
                     } else {
                         debug!("discovery at {address}: {e}");
                     }
-                    resolver.connection = None;
                     None
                 }
             };
+            if silent {
+                // the watch that the module asked for goes on; what fails again is the module's to ask for
+                tokio::time::sleep(resolver.options.reopen).await;
+                continue;
+            }
             let failed = news.is_none();
             let news = news.unwrap_or(Resolved { kind: ListKind::Error, hosts: Vec::new() });
             if mail.send(Mail::Resolved(news)).await.is_err() {
@@ -305,39 +185,12 @@
     fn move_to(&mut self, address: String) {
         info!("discovery is at {address} now");
         self.options.address = address;
-        (self.whole, self.connection) = (true, None);
+        (self.whole, self.catalog) = (true, Catalog::default());
     }
 
     async fn call(&mut self) -> Result<RawList, Failure> {
-        timeout(WAIT + SLACK, self.exchange()).await.unwrap_or(Err(Failure::Late))
-    }
-
-    async fn exchange(&mut self) -> Result<RawList, Failure> {
-        let (mut stream, mut buffer) = match self.connection.take() {
-            Some(connection) => connection,
-            None => {
-                let dial = TcpStream::connect(self.options.address.as_str());
-                let stream = timeout(SLACK, dial).await.map_err(|_| Failure::Late)??;
-                let _ = stream.set_nodelay(true);
-                (stream, Buffer::default())
-            }
-        };
         let Options { address, revision, .. } = &self.options;
-        let query = match self.whole {
-            true => String::new(),
-            false => format!("?after={revision}&wait_ms={}", WAIT.as_millis()),
-        };
-        let message = format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-        stream.write_all(message.as_bytes()).await?;
-        let (head, body) = read_whole(&mut buffer, &mut stream, MAX_LIST).await?;
-        if head.status != 200 {
-            return Err(Failure::Status(head.status));
-        }
-        let list = serde_json::from_slice(&body).map_err(Failure::List)?;
-        if !head.closes() && buffer.is_empty() {
-            self.connection = Some((stream, buffer));
-        }
-        Ok(list)
+        self.catalog.call(address, (!self.whole).then_some(*revision)).await
     }
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -246,6 +246,7 @@
                 localities: config.localities.clone(),
                 watch: before.is_some(),
                 pushed: !config.settings.ask,
+                reopen: resolver::REOPEN.mul_f64(config.seed as f64 / u64::MAX as f64),
                 show: room.is_some().then_some(show),
             };
             tokio::spawn(resolver::run(options, asked, mail));
