Load goes by listed size and kind of machine: draws, homes and prior lines

Draws were even, every fit began at one line, and a session's home lay on a ring with as many points for the smallest as for the largest: the smallest kind got two to three times its share and lost 22% of it, the largest 3%. First tokens take time in inverse proportion to size.

Change: the draw, the ring and cold turns go by size; fits begin from the kind of machine at its size (src/speeds.rs). A pressed request leans to the large, one with time to spare to the small, where reports correct it and little was seen. A weight that is live is no size.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -197,6 +197,8 @@
     pub start_capacity: f64,
     /// and is warm after this.
     pub warm_after: Dur,
+    /// Ratings in the list are sizes; otherwise they change with the load, too late to go by.
+    pub sized: bool,
     /// The values of a load report.
     pub report: Vec<Field>,
     /// Reports come with answers, not only with probes.
@@ -232,6 +234,7 @@
             fall: Dur(1_000_000),
             start_capacity: 0.1,
             warm_after: Dur(20_000_000),
+            sized: true,
             report: Vec::new(),
             report_in_answers: false,
         }
@@ -292,6 +295,8 @@
     pub started: Time,
     /// Its size beside the others'.
     pub rating: f64,
+    /// Its kind of machine; those of one kind are alike in speed for their size.
+    pub kind: u32,
     /// What it serves.
     pub models: Models,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod router;
 pub mod routing;
 pub mod sight;
+pub mod speeds;
 pub mod spend;
 pub mod traces;
 pub mod upkeep;
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -16,13 +16,16 @@
 pub(crate) struct Ring(Vec<(u64, usize)>);
 
 impl Ring {
-    /// Points that each place has; evens out its arcs.
-    const POINTS: u64 = 8;
+    /// Points that a place of weight 1 has, which evens out its arcs, and that any has at the most.
+    const POINTS: f64 = 8.0;
+    const MOST: f64 = 64.0;
 
-    /// A ring of these places, each with its key.
-    pub(crate) fn new(places: impl Iterator<Item = (usize, u64)>) -> Ring {
-        let points =
-            |(k, id): (usize, u64)| (0..Self::POINTS).map(move |p| (mix(id.wrapping_add(mix(p))), k));
+    /// A ring of these places, each with its key and its weight beside the others'.
+    pub(crate) fn new(places: impl Iterator<Item = (usize, u64, f64)>) -> Ring {
+        let points = |(k, id, weight): (usize, u64, f64)| {
+            let points = (Self::POINTS * weight).round().clamp(1.0, Self::MOST) as u64;
+            (0..points).map(move |p| (mix(id.wrapping_add(mix(p))), k))
+        };
         let mut ring: Vec<(u64, usize)> = places.flat_map(points).collect();
         ring.sort_unstable();
         Ring(ring)
@@ -35,7 +38,7 @@
         self.0[next..].iter().chain(&self.0).map(|p| p.1).find(|&k| has(k))
     }
 
-    /// A place drawn evenly, by a number from 0 to 1.
+    /// A place drawn by weight, by a number from 0 to 1.
     pub(crate) fn any(&self, luck: f64) -> Option<usize> {
         self.0.get((luck * self.0.len() as f64) as usize).map(|p| p.1)
     }
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -103,12 +103,12 @@
     }
 
     pub(super) fn learn(&mut self, k: usize, tokens: f64, took: f64) {
-        self.fleet.add(tokens, took, NEW / 8.0);
-        let start = Line { a: self.prior.a, ..self.start };
-        (self.prior, self.prior_at) = (self.fleet.line(start, self.tokens), self.now);
         let replica = &mut self.replicas[k];
+        let (kind, size) = (replica.entry.kind, replica.size());
+        self.speeds.add(Sample { kind, size, tokens, took }, self.tokens, self.now);
         replica.fit.add(tokens, took, NEW);
-        replica.line = (replica.fit.line(self.prior, self.tokens), self.now);
+        let prior = self.speeds.of(kind, size, self.now);
+        replica.line = (replica.fit.line(prior, self.tokens), self.now);
         (replica.seen, replica.failures) = (true, 0);
     }
 
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -9,6 +9,12 @@
 /// Held requests looked at in one release, and mature replicas compared for one request.
 const SCAN: usize = 32;
 const COMPARE: usize = 8;
+/// A request has time to spare where first tokens take less than this part of what it has left.
+const SPARE: f64 = 1.0 / 8.0;
+/// Predicted times are compared times the replica's size beside the mean, to this power: at 0 the largest are
+/// taken first, at 1 size counts in the draw alone, beyond that the smallest. Only where reports correct it.
+const SPARING: f64 = 2.0;
+const PRESSED: f64 = 0.5;
 /// Replicas whose load is asked for ahead of one request.
 const ASK: usize = 3;
 /// What was seen of a replica counts as its present state for so many aims.
@@ -66,7 +72,7 @@
         let Some(arrival) = self.requests.get(&id).map(|r| &r.arrival) else { return true };
         let late = |time: f64| self.now + Dur::from_secs(time) > due;
         let places = self.places(arrival).into_iter().flatten().filter(|&k| self.replicas[k].usable());
-        late(self.prior().at(self.unread(arrival, usize::MAX)))
+        late(self.speeds.fleet(self.now).at(self.unread(arrival, usize::MAX)))
             && places.map(|k| self.line_on(k).at(self.unread(arrival, k))).all(late)
     }
 
@@ -100,19 +106,23 @@
     pub(super) fn draw(&mut self, arrival: &Arrival) -> Vec<usize> {
         let mut drawn = Vec::with_capacity(COMPARE);
         let special = self.places(arrival);
+        let few = self.mature.len() + special.len() <= COMPARE;
         for n in 0..SCAN {
             let k = match special.get(n) {
                 Some(&Some(k)) => k,
                 Some(None) => continue,
-                None if self.mature.len() + special.len() <= COMPARE => {
+                None if few => {
                     let Some(&k) = self.mature.get(n - special.len()) else { break };
                     k
                 }
                 None => self.mature[self.rng.random_range(0..self.mature.len())],
             };
+            // by size, or the small ones are sent as much as the large
+            let part = self.speeds.beside_largest(self.replicas[k].size());
+            let due = n < special.len() || few || part > self.rng.random();
             // replicas without the model are passed over at the cost of a draw
             let has = self.replicas[k].entry.models.ready_in(arrival.model).is_some();
-            if has && !drawn.contains(&k) && self.replicas[k].usable() {
+            if due && has && !drawn.contains(&k) && self.replicas[k].usable() {
                 drawn.push(k);
             }
             if drawn.len() == COMPARE {
@@ -142,8 +152,14 @@
         let price = price + FAILING * replica.failing.max(replica.sight.errors);
         let wait = (replica.maturity - self.now).secs();
         let time = wait + load.secs() + self.line_on(k).at(tokens + replica.waiting_tokens);
+        // one with time to spare leaves the large replicas to those in need of them; what this gateway has
+        // seen of a replica lately needs no such leaning
+        let usual = self.speeds.fleet(self.now).at(self.unread(arrival, usize::MAX));
+        let lean = if usual < SPARE * left { SPARING } else { PRESSED };
+        let lean = if self.set.probes { lean } else { 1.0 } * (1.0 - (-self.age_of(k)).exp());
+        let bent = time * self.speeds.beside_mean(replica.size()).powf(lean);
         // guards against sending at the last moment what then times out: under overload most of it
-        (time <= left).then_some(time + aim.min(self.admission.aim) * price)
+        (time <= left).then_some(bent + aim.min(self.admission.aim) * price)
     }
 
     /// The best replica once the best few have told their load: a report tells what all gateways together
--- a/src/policy/maturity.rs
+++ b/src/policy/maturity.rs
@@ -50,7 +50,7 @@
     /// Puts off the maturity of a replica that has failed: each failure in a row doubles the wait, from
     /// what it cost or the delay of one ordinary request.
     pub(super) fn fault(&mut self, k: usize, waited: f64) {
-        let least = self.prior.at(self.tokens);
+        let least = self.speeds.fleet(self.now).at(self.tokens);
         let replica = &mut self.replicas[k];
         replica.failures = (replica.failures + 1).min(6);
         let wait = least.max(waited) * f64::from(1 << replica.failures);
@@ -89,18 +89,22 @@
         self.steps.at(self.now, self.fade).step(self.pace / 2.0 / self.reach, PRIOR * self.answer)
     }
 
-    /// The fleet's fit as it stands. Without new first tokens it goes back to where it began: guards against
-    /// a fit beyond every aim, which lets nothing out that could mend it.
-    pub(super) fn prior(&self) -> Line {
-        self.prior.towards(self.start, (self.now - self.prior_at).secs() / self.fade)
+    /// What is known of a replica by its kind and size.
+    pub(super) fn prior_of(&self, k: usize) -> Line {
+        let entry = &self.replicas[k].entry;
+        self.speeds.of(entry.kind, self.replicas[k].size(), self.now)
     }
 
     pub(super) fn line_on(&self, k: usize) -> Line {
-        let (line, at) = self.replicas[k].line;
         let slow = self.replicas[k].sight.slowness(&self.means, self.now, SLOW_FADE * self.fade);
-        // guards against a replica new to this gateway that stands as all do, whatever its report has told
-        let age = if self.replicas[k].seen { (self.now - at).secs() / self.fade } else { f64::INFINITY };
-        line.towards(self.prior().times(slow), age)
+        self.replicas[k].line.0.towards(self.prior_of(k).times(slow), self.age_of(k))
+    }
+
+    /// How long this gateway has not seen a first token of a replica, in spans over which that fades.
+    /// Guards against a replica new to it that stands as all do, whatever its report has told.
+    pub(super) fn age_of(&self, k: usize) -> f64 {
+        let replica = &self.replicas[k];
+        if replica.seen { (self.now - replica.line.1).secs() / self.fade } else { f64::INFINITY }
     }
 
     pub(super) fn budget_of(&self, k: usize) -> f64 {
--- a/src/policy/members.rs
+++ b/src/policy/members.rs
@@ -37,8 +37,9 @@
             self.place(k);
         }
         let usable = || self.replicas.iter().enumerate().filter(|(_, r)| r.usable());
-        self.ring = Ring::new(usable().map(|(k, r)| (k, r.entry.replica.0)));
-        self.size = usable().map(|(_, r)| r.size()).sum::<f64>() / usable().count().max(1) as f64;
+        self.speeds.sizes(usable().map(|(_, r)| r.size()));
+        let size = |r: &Replica| self.speeds.beside_mean(r.size());
+        self.ring = Ring::new(usable().map(|(k, r)| (k, r.entry.replica.0, size(r))));
         let started = usable().map(|(_, r)| r.entry.started).filter(|t| t.0 > 0).max();
         self.all_warm = started.map_or(self.now, |t| t + self.set.warm_after);
         // guards against waiting for a model that has left the list: another may still be in time
@@ -61,6 +62,8 @@
     }
 
     pub(super) fn member(&mut self, entry: &Entry) {
+        let rating = if self.set.sized { entry.rating } else { 1.0 };
+        let entry = Entry { rating, ..entry.clone() };
         let known = self.index.get(&entry.replica).copied();
         let k = known.unwrap_or_else(|| self.spare());
         self.index.insert(entry.replica, k);
@@ -75,9 +78,8 @@
         let maturities = self.replicas.iter().filter(|r| r.usable()).map(|r| (r.maturity - self.now).0);
         let (sum, n) = maturities.fold((0, 0), |(s, n), m| (s + m, n + 1));
         let fresh = Replica {
-            entry: entry.clone(),
+            entry,
             listed: true,
-            line: (self.prior, self.now),
             maturity: self.now + Dur(sum / n.max(1)),
             streams: vec![0; self.set.classes.len()],
             ..Replica::default()
@@ -125,8 +127,7 @@
             return None;
         }
         let k = self.ring.any(self.rng.random())?;
-        let size = self.replicas[k].size() / self.size;
-        let part = COLD_MARGIN * self.set.fall_multiple * self.capacity(k) * size;
+        let part = COLD_MARGIN * self.set.fall_multiple * self.capacity(k);
         (self.cold(k) && self.rng.random::<f64>() < part).then_some(k)
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,6 +14,7 @@
 use crate::open::{Attempt, Phase, Request};
 use crate::replica::Replica;
 use crate::sight::Means;
+use crate::speeds::{Sample, Speeds};
 use admission::Admission;
 
 pub use maturity::{budget, delay};
@@ -48,10 +49,7 @@
     queue: BTreeSet<(Time, RequestId)>,
     held: Vec<u32>,
     used: Vec<usize>,
-    fleet: Fit,
-    start: Line,
-    prior: Line,
-    prior_at: Time,
+    speeds: Speeds,
     tokens: f64,
     pace: f64,
     fade: f64,
@@ -63,7 +61,6 @@
     reach: f64,
     steps: Steps,
     admission: Admission,
-    size: f64,
     means: Means,
     all_warm: Time,
     ask_at: Option<Time>,
@@ -96,10 +93,7 @@
             queue: BTreeSet::new(),
             held: vec![0; set.classes.len()],
             used: Vec::new(),
-            fleet: Fit::default(),
-            start,
-            prior: start,
-            prior_at: now,
+            speeds: Speeds::new(start, FADE * admission.aim, now),
             tokens: 1000.0,
             pace,
             fade: FADE * admission.aim,
@@ -111,7 +105,6 @@
             reach: 1.0,
             steps: Steps::default(),
             admission,
-            size: 1.0,
             means: Means::default(),
             all_warm: now,
             ask_at,
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -15,8 +15,7 @@
         let due = (self.now + aim).min(arrival.valid_until);
         let expires = if c.late_worth > 0.0 { arrival.valid_until } else { due };
         // a session's next turn is cheap where its prompt is kept, and so shed last
-        let last = self.last_turn(&arrival);
-        let place = last.or(self.home(&arrival)).unwrap_or(usize::MAX);
+        let place = self.last_turn(&arrival).or(self.home(&arrival)).unwrap_or(usize::MAX);
         let work = 1.0 + self.unread(&arrival, place) / self.tokens.max(1.0);
         let worth = if arrival.repeat { REPEAT } else { 1.0 } * c.worth;
         let worth = worth * self.admission.share_worth(&self.set, arrival.tenant as usize, self.now);
@@ -56,10 +55,8 @@
                 Effect::Keyed => class.group == Group::All || request.may_have_run().is_none(),
                 Effect::Unsafe => request.may_have_run().is_none(),
             };
-            let retry_in = self
-                .set
-                .retry_after
-                .then(|| self.admission.of(request.arrival.model, &self.set, self.now).back_in(self.now));
+            let admission = self.admission.of(request.arrival.model, &self.set, self.now);
+            let retry_in = self.set.retry_after.then(|| admission.back_in(self.now));
             let retry_in = retry_in.map(|d| d.min(self.set.max_retry_after)).filter(|d| d.0 > 0);
             let refuse = Action::Refuse { request: id, retry_in };
             out.push(if harmless { refuse } else { Action::Fail { request: id } });
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -305,6 +305,7 @@
             },
             started: Time(if f.get("launched").is_some() { f.micros("launched")? } else { 0 }),
             rating: if f.get("rating").is_some() { f.number("rating")? } else { 1.0 },
+            kind: f.int_or("model", 0)?,
             ..Entry::default()
         };
         let Some((sheet, mut left, mut entries)) = self.open.take() else {
@@ -422,6 +423,8 @@
     #[serde(default)]
     telemetry: RawTelemetry,
     #[serde(default)]
+    weights: String,
+    #[serde(default)]
     specifics: RawSpecifics,
     #[serde(default)]
     callers: RawCallers,
@@ -593,6 +596,7 @@
         fall: Dur::from_secs(raw.guarantees.fall),
         start_capacity: raw.guarantees.start_capacity,
         warm_after: Dur::from_secs(raw.guarantees.warm_after),
+        sized: raw.weights != "live",
         report: raw.telemetry.names.iter().map(field).collect(),
         report_in_answers: raw.telemetry.how == "answers",
     })
--- /dev/null
+++ b/tests/common/fleet.rs
@@ -0,0 +1,111 @@
+//! Many gateways, each a `Balancer` of its own with values for time; no replica is modelled, answers come after a
+//! fixed time.
+
+use stilespan::interface::*;
+
+use super::*;
+
+/// Gateways in the fleets of these tests.
+pub const GATEWAYS: u32 = 100;
+
+/// Many gateways, and what they sent: when, from which, and where to.
+pub struct Fleet {
+    pub gateways: Vec<Gateway>,
+    pub open: Vec<(Time, usize, u32)>,
+    pub sent: Vec<(Time, usize, u64)>,
+    pub ended: usize,
+    pub next: u32,
+}
+
+impl Fleet {
+    pub fn new(settings: &Settings, entries: &[Entry]) -> Fleet {
+        let gateway = |seed| {
+            let balancer = stilespan::Balancer::new(settings.clone(), seed, START);
+            let mut gateway = Gateway { balancer, now: START };
+            gateway.step(0, vec![list(ListKind::Persisted, entries.to_vec())]);
+            gateway
+        };
+        let gateways = (0..u64::from(settings.instances)).map(gateway).collect();
+        Fleet { gateways, open: Vec::new(), sent: Vec::new(), ended: 0, next: 0 }
+    }
+
+    /// One request for each gateway in turn, spread evenly over `span`; first tokens come after 50 ms, answers
+    /// end 200 ms later.
+    pub fn round(&mut self, span: Dur) {
+        let start = self.gateways[0].now;
+        for k in 0..self.gateways.len() {
+            let now = start + Dur(span.0 * k as u64 / self.gateways.len() as u64);
+            self.settle(now);
+            self.next += 1;
+            let ask = Arrival { valid_until: now + Dur(5_000_000), ..arrival(self.next) };
+            self.act(k, now, vec![Event::Request(ask)]);
+        }
+        let end = start + span;
+        self.settle(end);
+        for k in 0..self.gateways.len() {
+            self.act(k, end, vec![Event::Timer { mark: 0 }]);
+        }
+    }
+
+    pub fn settle(&mut self, now: Time) {
+        let (due, open) = self.open.iter().partition(|o| o.0 <= now);
+        self.open = open;
+        for (at, k, id) in due {
+            let events = vec![first(id, 0, 50_000), ended(id, 0, Outcome::Ok, true)];
+            self.act(k, at.max(self.gateways[k].now), events);
+        }
+    }
+
+    pub fn act(&mut self, k: usize, now: Time, events: Vec<Event>) {
+        let after = now - self.gateways[k].now;
+        for action in self.gateways[k].step(after.0, events) {
+            match action {
+                Action::Send { request, replica, .. } => {
+                    self.sent.push((now, k, replica.0));
+                    self.open.push((now + Dur(250_000), k, request.0));
+                }
+                Action::Refuse { .. } | Action::Fail { .. } => self.ended += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// The most sends to one replica within any window.
+    pub fn most(&self, window: Dur, of: impl Fn(u64) -> bool) -> usize {
+        let mut most = 0;
+        for &(at, _, to) in self.sent.iter().filter(|s| of(s.2)) {
+            let within = |s: &&(Time, usize, u64)| s.2 == to && s.0 >= at && s.0 - at <= window;
+            most = most.max(self.sent.iter().filter(within).count());
+        }
+        most
+    }
+}
+
+/// Settings with the rule on cold replicas.
+pub fn rules() -> Settings {
+    Settings {
+        instances: GATEWAYS,
+        fall: Dur(1_500_000),
+        start_capacity: 0.3,
+        warm_after: Dur(9_000_000),
+        ..settings()
+    }
+}
+
+/// Settings with load reports.
+pub fn probing() -> Settings {
+    let report = vec![Field::Errors, Field::Served, Field::Util, Field::Other];
+    Settings { probes: true, report, ..rules() }
+}
+
+pub fn probes(actions: &[Action]) -> Vec<u64> {
+    let probe = |a: &Action| match a {
+        Action::Probe { replica } => Some(replica.0),
+        _ => None,
+    };
+    actions.iter().filter_map(probe).collect()
+}
+
+pub fn told(replica: u64, outcome: Outcome, report: Option<Report>) -> Event {
+    Event::Probed { replica: ReplicaId(replica), outcome, took: Dur(2_000), report }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway in miniature for tests: it keeps time and collects actions. It models no replica.
 #![allow(dead_code)]
 
+pub mod fleet;
 pub mod folder;
 pub mod peers;
 
