--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -28,8 +29,7 @@
     /// Starts the program in this folder and waits until it is ready.
     pub async fn start(program: &Path, folder: &Path, config: &Value) -> Result<Process, LabError> {
         std::fs::create_dir_all(folder)?;
-        // free a moment ago; nobody else on this machine is told of it
-        let listen = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let listen = address();
         let mut config = config.clone();
         config["listen"] = json!(listen.to_string());
         std::fs::write(folder.join("config.json"), config.to_string())?;
@@ -87,6 +87,15 @@
     }
 }
 
+/// A loopback address of the process's own. Guards against a free port that somebody else has taken by the time at
+/// which the process listens: ports below those that the system deals out, on an address that nobody else uses.
+fn address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(std::process::id().wrapping_mul(4_099));
+    let [_, a, b, c] = n.to_be_bytes();
+    SocketAddr::from(([127, a | 1, b, c.clamp(1, 254)], 9_000))
+}
+
 fn spawn(program: &Path, folder: &Path) -> Result<Child, LabError> {
     let log = File::options().create(true).append(true).open(folder.join("log"))?;
     let mut command = Command::new(program);
--- /dev/null
+++ b/tests/lab.rs
@@ -0,0 +1,45 @@
+//! Several processes of the built program beside one another, with faults on the links between them and their peers. The
+//! rules are held against what the stand-ins and the clients saw.
+
+use std::path::Path;
+
+use lab::{End, Record, Scenario, check};
+use rstest::rstest;
+
+/// Plays a scenario with each of its seeds, side by side, or with the seeds that `LAB_SEEDS` asks for (1 to so many).
+/// With `LAB_RECORDS` the records stay there as JSON.
+async fn play(name: &str) -> Vec<Record> {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/scenarios/{name}.toml"));
+    let scenario = Scenario::parse(&std::fs::read_to_string(&file).unwrap()).unwrap();
+    let asked = std::env::var("LAB_SEEDS").ok().and_then(|n| n.parse().ok());
+    let seeds = asked.map_or(scenario.seeds.clone(), |n: u64| (1..=n).collect());
+    let program = Path::new(env!("CARGO_BIN_EXE_stilespan"));
+    let mut records = Vec::new();
+    for seeds in seeds.chunks(5) {
+        let plays = seeds.iter().map(|&seed| lab::run(&scenario, seed, program));
+        for record in futures_util::future::join_all(plays).await {
+            records.push(record.unwrap());
+        }
+    }
+    if let Ok(folder) = std::env::var("LAB_RECORDS") {
+        for record in &records {
+            let path = Path::new(&folder).join(format!("{name}-{}.json", record.seed));
+            std::fs::write(path, serde_json::to_string_pretty(record).unwrap()).unwrap();
+        }
+    }
+    records
+}
+
+#[rstest]
+#[case("silent_watch")]
+#[case("lost_links")]
+#[case("restarts")]
+#[tokio::test]
+async fn every_rule_holds(#[case] name: &str) {
+    for record in play(name).await {
+        let broken = check::broken(&record);
+        assert!(broken.is_empty(), "{name}, seed {}: {broken:#?}", record.seed);
+        let answered = record.asked.iter().filter(|asked| asked.end == End::Answered).count();
+        assert!(answered * 2 > record.asked.len(), "{name}, seed {}: {answered} answered", record.seed);
+    }
+}
