--- /dev/null
+++ b/src/core/actor/mail.rs
@@ -0,0 +1,183 @@
+//! Mail taken in: what becomes of it in the tables, and the events that the module is told.
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+use std::time::Instant;
+
+use tokio::sync::oneshot;
+use tracing::{debug, trace};
+
+use super::due::Due;
+use super::{Core, GUARD, LAST, Subchannel};
+use crate::core::table::{Open, Out};
+use crate::core::{Answer, AttemptId, Ending, Facts, Host, Mail, Resolved, Rpc};
+use crate::interface::{Arrival, Dur, Entry, Event, ListKind, Outcome, ReplicaId, RequestId, State, Time};
+
+impl Core {
+    pub(super) fn take(&mut self, mail: Mail) {
+        match mail {
+            Mail::Submit(rpc, answer, id) => self.submit(rpc, answer, id),
+            Mail::Gone(request) => self.gone(request),
+            Mail::Resolved(resolved) => self.resolved(resolved),
+            Mail::First(id, at, pieces) => {
+                let Some(open) = self.rpcs.get_mut(&id.request) else { return };
+                // an attempt that was called off meanwhile finds its pieces unwanted and stops
+                let Some(out) = open.out.as_mut().filter(|o| o.trial == id.trial) else { return };
+                let took = at.saturating_duration_since(out.since);
+                let Some(answer) = open.answer.take() else { return };
+                out.until = None;
+                if open.live {
+                    self.load.start(at.saturating_duration_since(open.received));
+                }
+                let _ = answer.send(Answer::Started(pieces));
+                let took = Dur(took.as_micros() as u64);
+                trace!(
+                    "rpc {} attempt {} at {:x}: began after {} us",
+                    id.request.0, id.trial, out.replica.0, took.0
+                );
+                self.events.push(Event::First { request: id.request, trial: id.trial, took });
+            }
+            Mail::Ended(id, at, ending) => self.ended(id, at, ending),
+            Mail::Probed(replica, outcome, took, report) => {
+                let took = Dur(took.as_micros() as u64);
+                trace!("probe at {:x}: {outcome:?} after {} us, {report:?}", replica.0, took.0);
+                self.events.push(Event::Probed { replica, outcome, took, report });
+            }
+        }
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        rpc: Rpc,
+        answer: oneshot::Sender<Answer>,
+        id_to: oneshot::Sender<RequestId>,
+    ) {
+        if self.rpcs.len() >= self.max_open {
+            // as the platform does: what is beyond the settings' limit doesn't reach the module
+            let _ = answer.send(Answer::Refused { retry_in: None, sent: false, attempts: 0 });
+            return;
+        }
+        let request = loop {
+            self.last_id = self.last_id.wrapping_add(1);
+            if !self.rpcs.contains_key(&RequestId(self.last_id)) {
+                break RequestId(self.last_id);
+            }
+        };
+        let Facts { class, tenant, session, prefix, prompt, shared, cap, repeat, resumed, live, .. } =
+            rpc.facts;
+        let expires = self.clock.at(rpc.facts.received) + Dur(rpc.facts.patience.as_micros() as u64);
+        let hint = Dur(rpc.facts.hint.as_micros() as u64);
+        trace!("rpc {}: class {class}, {prompt} tokens, {:?}", request.0, rpc.facts.patience);
+        let arrival = Arrival {
+            request,
+            class,
+            tenant,
+            session,
+            prefix,
+            prompt,
+            shared,
+            cap,
+            hint,
+            valid_until: Time(expires.0.saturating_sub(GUARD.0)),
+            repeat,
+            resumed,
+            model: rpc.facts.model,
+            spent: rpc.facts.spent,
+        };
+        let open = Open {
+            answer: Some(answer),
+            payload: rpc.payload,
+            expires,
+            received: rpc.facts.received,
+            trials: 0,
+            spent: rpc.facts.spent,
+            sent: false,
+            live,
+            out: None,
+        };
+        self.rpcs.insert(request, open);
+        if live {
+            self.load.opened();
+        }
+        self.due.push(Reverse((Time(expires.0.saturating_sub(LAST.0)), Due::Expiry(request))));
+        let _ = id_to.send(request);
+        self.events.push(Event::Request(arrival));
+    }
+
+    pub(super) fn gone(&mut self, request: RequestId) {
+        let Some(open) = self.rpcs.get_mut(&request) else { return };
+        trace!("rpc {}: its client has gone", request.0);
+        open.answer = None;
+        let out = open.out.take();
+        self.events.push(Event::Gone { request });
+        if let Some(out) = out {
+            self.over(request, out, Outcome::Cancelled.into(), Instant::now());
+        }
+        self.sweep(request);
+    }
+
+    pub(super) fn resolved(&mut self, mut resolved: Resolved) {
+        debug!("resolver result: {:?}, {} hosts", resolved.kind, resolved.hosts.len());
+        let entries = resolved.hosts.iter_mut().map(|host| &mut host.entry);
+        self.bans.overlay(resolved.kind, entries, self.clock.at(Instant::now()));
+        self.told = None;
+        if matches!(resolved.kind, ListKind::Complete | ListKind::Error) {
+            self.naps.told();
+        }
+        if resolved.kind != ListKind::Partial && resolved.kind != ListKind::Error {
+            self.load.listed();
+            // a subchannel whose mailbox is dropped finishes what it holds
+            let named: Vec<ReplicaId> = resolved.hosts.iter().map(|h| h.entry.replica).collect();
+            self.subchannels.retain(|id, _| named.contains(id));
+        }
+        for host in &resolved.hosts {
+            self.host(host);
+        }
+        let entries: Arc<[Entry]> = resolved.hosts.into_iter().map(|h| h.entry).collect();
+        self.events.push(Event::Members { kind: resolved.kind, entries });
+    }
+
+    pub(super) fn host(&mut self, host: &Host) {
+        let replica = host.entry.replica;
+        if host.entry.state == State::Terminated {
+            self.subchannels.remove(&replica);
+            return;
+        }
+        if self.subchannels.get(&replica).is_none_or(|s| s.address != host.address) {
+            let (address, started) = (host.address.clone(), host.entry.started);
+            // guards against sends meant for a host that has gone unnoticed, and met by the new one in its place
+            self.subchannels.retain(|_, s| s.address != address || s.started > started);
+            let orders = self.connector.open(replica, host);
+            self.subchannels.insert(replica, Subchannel { address, started, orders });
+        }
+    }
+
+    pub(super) fn ended(&mut self, id: AttemptId, at: Instant, ending: Ending) {
+        let Some(open) = self.rpcs.get_mut(&id.request) else { return };
+        // an attempt called off or timed out has had its outcome already
+        let Some(out) = open.out.take_if(|o| o.trial == id.trial) else { return };
+        self.over(id.request, out, ending, at);
+        self.sweep(id.request);
+    }
+
+    /// An attempt has its outcome: exactly one each.
+    pub(super) fn over(&mut self, request: RequestId, out: Out, ending: Ending, at: Instant) {
+        let Some(open) = self.rpcs.get_mut(&request) else { return };
+        open.sent |= !matches!(ending.outcome, Outcome::ConnectFailed | Outcome::Moot);
+        let took = Dur(at.saturating_duration_since(out.since).as_micros() as u64);
+        let at = out.replica.0;
+        trace!("rpc {} attempt {} at {at:x}: {:?} after {} us", request.0, out.trial, ending.outcome, took.0);
+        let Ending { outcome, kept, report } = ending;
+        let closed = open.answer.is_none();
+        self.events.push(Event::Ended { request, trial: out.trial, outcome, took, kept, closed, report });
+    }
+
+    pub(super) fn sweep(&mut self, request: RequestId) {
+        if self.rpcs.get(&request).is_some_and(Open::over)
+            && let Some(open) = self.rpcs.remove(&request)
+            && open.live
+        {
+            self.load.closed();
+        }
+    }
+}
--- /dev/null
+++ b/src/core/actor/mod.rs
@@ -0,0 +1,196 @@
+//! The module's actor: mail in, events to the [`Balancer`], its actions carried out. It owns the RPC table,
+//! the call attempts and all their timers, and decides nothing itself.
+
+mod actions;
+mod due;
+mod mail;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rustc_hash::FxHashMap;
+use tokio::sync::{mpsc, oneshot};
+use tracing::info;
+
+use super::naps::Naps;
+use super::table::Open;
+use super::{Clock, Connector, Handle, ListOrder, Load, MAILBOX, Mail, Maintenance, Order};
+use crate::Balancer;
+use crate::interface::{Action, Dur, Event, ReplicaId, RequestId, Settings, Time};
+use crate::ops::bans::{Ban, Bans};
+use crate::ops::figures::Figures;
+use due::Due;
+
+/// The module is told of an expiry so much earlier: its last answer still has to be written and to travel.
+const GUARD: Dur = Dur(10_000);
+/// Where it gave none by then, the actor's own goes out this long ahead of the client's expiry.
+const LAST: Dur = Dur(3_000);
+/// Mail taken in before a step at the most, so that a flood can't put the step off.
+const GULP: usize = 512;
+/// Operators' orders that wait for the actor at the most.
+const ORDERS: usize = 16;
+/// How often the figures of the fleet are told anew while there is something to decide.
+const TELL: Duration = Duration::from_millis(100);
+
+/// A host's subchannel.
+struct Subchannel {
+    address: String,
+    started: Time,
+    orders: mpsc::Sender<Order>,
+}
+
+/// What the actor is started with.
+pub struct Parts {
+    /// The settings.
+    pub settings: Settings,
+    /// The seed of the module's random numbers.
+    pub seed: u64,
+    /// The most RPCs open at once.
+    pub max_open: usize,
+    /// Makes subchannels.
+    pub connector: Box<dyn Connector>,
+    /// The list's actor.
+    pub resolver: mpsc::Sender<ListOrder>,
+    /// Bans that were in force before this process.
+    pub bans: Vec<(ReplicaId, Ban)>,
+    /// The figures of the fleet and of the RPCs.
+    pub figures: Arc<Figures>,
+}
+
+/// An order that was carried out, and what to answer once the module has been told.
+type Done = (oneshot::Sender<Option<Vec<Ban>>>, Option<Vec<Ban>>);
+
+/// The module's actor.
+pub struct Core {
+    balancer: Balancer,
+    clock: Clock,
+    period: Duration,
+    max_attempts: u32,
+    max_open: usize,
+    connector: Box<dyn Connector>,
+    resolver: mpsc::Sender<ListOrder>,
+    mail: mpsc::Receiver<Mail>,
+    orders: mpsc::Receiver<Maintenance>,
+    orders_to: mpsc::Sender<Maintenance>,
+    done: Vec<Done>,
+    bans: Bans,
+    figures: Arc<Figures>,
+    /// When the figures of the fleet were last told; none when they are to be told with the next step.
+    told: Option<Instant>,
+    naps: Naps,
+    subchannels: FxHashMap<ReplicaId, Subchannel>,
+    rpcs: FxHashMap<RequestId, Open>,
+    load: Arc<Load>,
+    last_id: u32,
+    due: BinaryHeap<Reverse<(Time, Due)>>,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+}
+
+impl Core {
+    /// Makes an actor that knows no hosts yet, and its mailbox.
+    pub fn new(parts: Parts) -> (Core, mpsc::Sender<Mail>) {
+        let clock = Clock::start();
+        let (mail_to, mail) = mpsc::channel(MAILBOX);
+        let (orders_to, orders) = mpsc::channel(ORDERS);
+        let core = Core {
+            period: Duration::from_micros(parts.settings.period.0),
+            max_attempts: parts.settings.max_attempts,
+            max_open: parts.max_open,
+            balancer: Balancer::new(parts.settings, parts.seed, clock.at(Instant::now())),
+            clock,
+            connector: parts.connector,
+            resolver: parts.resolver,
+            mail,
+            orders,
+            orders_to,
+            done: Vec::new(),
+            bans: Bans::new(parts.bans),
+            figures: parts.figures,
+            told: None,
+            naps: Naps::new(Instant::now()),
+            subchannels: FxHashMap::default(),
+            rpcs: FxHashMap::default(),
+            load: Arc::default(),
+            last_id: 0,
+            due: BinaryHeap::new(),
+            events: Vec::new(),
+            actions: Vec::new(),
+        };
+        (core, mail_to)
+    }
+
+    /// Starts the actor on this thread's runtime.
+    pub fn start(parts: Parts) -> (Handle, mpsc::Sender<Mail>) {
+        let (core, mail) = Core::new(parts);
+        let handle =
+            Handle::new(mail.clone(), core.orders_to.clone(), core.load.clone(), core.figures.clone());
+        tokio::spawn(core.run());
+        (handle, mail)
+    }
+
+    /// Runs until all senders of mail are gone.
+    pub async fn run(mut self) {
+        // the first step arms the module's own timers
+        self.step(Instant::now());
+        let mut stepped = Instant::now();
+        loop {
+            let next = self.due.peek().map(|Reverse((at, _))| self.clock.instant(*at));
+            let beat = self.naps.next();
+            let wake = tokio::time::sleep_until(next.map_or(beat, |next| next.min(beat)).into());
+            tokio::select! {
+                biased;
+                Some(order) = self.orders.recv() => self.maintain(order),
+                mail = self.mail.recv() => match mail {
+                    Some(mail) => self.take(mail),
+                    None => return,
+                },
+                () = wake => {}
+            }
+            // no oftener than the settings allow
+            tokio::time::sleep_until((stepped + self.period).into()).await;
+            while let Ok(order) = self.orders.try_recv() {
+                self.maintain(order);
+            }
+            for _ in 0..GULP {
+                let Ok(mail) = self.mail.try_recv() else { break };
+                self.take(mail);
+            }
+            stepped = Instant::now();
+            if let Some(nap) = self.naps.runs(stepped) {
+                info!("away for {} ms: asking for the list before anything is sent", nap.as_millis());
+                if self.resolver.try_send(ListOrder::Confirm).is_err() {
+                    self.naps.told();
+                }
+            }
+            self.fall_due(self.clock.at(stepped));
+            if !self.events.is_empty() && !self.naps.holds(stepped) {
+                self.step(stepped);
+            }
+            for (to, answer) in self.done.drain(..) {
+                let _ = to.send(answer);
+            }
+        }
+    }
+
+    fn step(&mut self, at: Instant) {
+        let now = self.clock.at(at);
+        self.balancer.step(now, &self.events, &mut self.actions);
+        self.events.clear();
+        if self.told.is_none_or(|told| at.saturating_duration_since(told) >= TELL) {
+            self.told = Some(at);
+            self.figures.fleet(self.bans.listed(), self.balancer.avoided());
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            self.carry_out(action, at, now);
+        }
+        self.actions = actions;
+        if !self.events.is_empty() {
+            // what came of carrying out (a moot send, a cancel) is told in the next step, soon
+            self.due.push(Reverse((now + Dur(self.period.as_micros() as u64), Due::Mark(u64::MAX))));
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,11 +5,14 @@
 //! a subchannel speaks, where its host came from and what an RPC holds is no concern of this folder.
 
 pub mod actor;
+mod clock;
+mod handle;
+mod load;
 pub mod naps;
 mod table;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -17,7 +20,10 @@
 
 use crate::interface::{Entry, ListKind, Outcome, ReplicaId, Report, RequestId};
 use crate::ops::bans::Ban;
-use crate::ops::figures::{End, Figures, Taken};
+
+pub use clock::Clock;
+pub use handle::{Closed, Handle, Ticket};
+pub use load::Load;
 
 /// Pieces of an answer that wait for a slow client at the most; the subchannel's connection then waits too.
 pub const PIECES: usize = 16;
@@ -59,59 +65,6 @@
     pub spent: u32,
 }
 
-/// Whether the core can be asked, and how busy it is with live RPCs, for fronts whose work can wait.
-#[derive(Debug, Default)]
-pub struct Load {
-    ready: AtomicBool,
-    open: AtomicUsize,
-    declined: AtomicU64,
-    started: AtomicU64,
-    waited: AtomicU64,
-}
-
-impl Load {
-    /// Whether the core has had a list of hosts.
-    pub fn ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed)
-    }
-
-    pub(super) fn listed(&self) {
-        self.ready.store(true, Ordering::Relaxed);
-    }
-
-    /// Live RPCs open now.
-    pub fn live(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
-    }
-
-    /// Live RPCs that were refused or failed so far.
-    pub fn declined(&self) -> u64 {
-        self.declined.load(Ordering::Relaxed)
-    }
-
-    /// Live RPCs whose answer began so far, and the microseconds that they had waited together.
-    pub fn started(&self) -> (u64, u64) {
-        (self.started.load(Ordering::Relaxed), self.waited.load(Ordering::Relaxed))
-    }
-
-    pub(super) fn start(&self, waited: Duration) {
-        self.started.fetch_add(1, Ordering::Relaxed);
-        self.waited.fetch_add(waited.as_micros() as u64, Ordering::Relaxed);
-    }
-
-    pub(super) fn opened(&self) {
-        self.open.fetch_add(1, Ordering::Relaxed);
-    }
-
-    pub(super) fn closed(&self) {
-        self.open.fetch_sub(1, Ordering::Relaxed);
-    }
-
-    pub(super) fn decline(&self) {
-        self.declined.fetch_add(1, Ordering::Relaxed);
-    }
-}
-
 /// What is sent for an RPC. Opaque here: a front makes it, a subchannel writes it.
 #[derive(Clone, Debug, Default)]
 pub struct Payload {
@@ -286,118 +239,3 @@
     /// Answered once the order is carried out: the bans in force from then on; none for a server never listed.
     pub done: oneshot::Sender<Option<Vec<Ban>>>,
 }
-
-/// A front's way to the module's actor.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    mail: mpsc::Sender<Mail>,
-    orders: mpsc::Sender<Maintenance>,
-    load: Arc<Load>,
-    figures: Arc<Figures>,
-}
-
-/// The module's actor has ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Closed;
-
-impl std::fmt::Display for Closed {
-    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
-        out.write_str("the core has ended")
-    }
-}
-
-impl std::error::Error for Closed {}
-
-impl Handle {
-    /// A way to the actor behind this mailbox.
-    pub fn new(
-        mail: mpsc::Sender<Mail>,
-        orders: mpsc::Sender<Maintenance>,
-        load: Arc<Load>,
-        figures: Arc<Figures>,
-    ) -> Handle {
-        Handle { mail, orders, load, figures }
-    }
-
-    /// The figures that RPCs are counted in.
-    pub fn figures(&self) -> &Arc<Figures> {
-        &self.figures
-    }
-
-    /// Leaves a model server out or puts it back; done once the actor has carried it out. `None` for a server that no
-    /// list has ever named, unless it is said to be known.
-    pub async fn maintain(
-        &self,
-        replica: ReplicaId,
-        name: &str,
-        leave_out: bool,
-        known: bool,
-    ) -> Result<Option<Vec<Ban>>, Closed> {
-        let (done, carried_out) = oneshot::channel();
-        let order = Maintenance { replica, name: name.to_string(), leave_out, known, done };
-        self.orders.send(order).await.map_err(|_| Closed)?;
-        carried_out.await.map_err(|_| Closed)
-    }
-
-    /// How busy the core is.
-    pub fn load(&self) -> &Load {
-        &self.load
-    }
-
-    /// Submits an RPC. Dropping the ticket before the answer's end tells the module that the client has gone.
-    pub async fn submit(&self, rpc: Rpc) -> Result<Ticket, Closed> {
-        let taken = self.figures.take(rpc.facts.class);
-        let (answer_to, answer) = oneshot::channel();
-        let (id_to, id) = oneshot::channel();
-        self.mail.send(Mail::Submit(rpc, answer_to, id_to)).await.map_err(|_| Closed)?;
-        Ok(Ticket { answer, id: Some(id), mail: self.mail.clone(), taken, whole: End::Answered })
-    }
-}
-
-/// A submitted RPC.
-#[derive(Debug)]
-pub struct Ticket {
-    answer: oneshot::Receiver<Answer>,
-    id: Option<oneshot::Receiver<RequestId>>,
-    mail: mpsc::Sender<Mail>,
-    taken: Taken,
-    /// What it counts as once its answer has been passed on whole.
-    whole: End,
-}
-
-impl Ticket {
-    /// Waits for the answer. Cancel safe.
-    pub async fn answer(&mut self) -> Answer {
-        let answer = (&mut self.answer).await.unwrap_or(Answer::Failed { sent: true, attempts: u32::MAX });
-        self.whole = match answer {
-            Answer::Started(_) => End::Answered,
-            Answer::Refused { .. } => End::Deferred,
-            Answer::Failed { .. } => End::Errored,
-        };
-        answer
-    }
-
-    /// The answer broke off, and its client has been told so.
-    pub fn broken(mut self) {
-        self.taken.ends(End::Errored);
-    }
-
-    /// The answer has been passed on whole: nobody has gone.
-    pub fn finish(mut self) {
-        self.taken.ends(self.whole);
-        self.id = None;
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        let Some(id) = self.id.take() else { return };
-        let mail = self.mail.clone();
-        // the mailbox may be full and the id not given yet; neither may lose the news
-        tokio::spawn(async move {
-            if let Ok(id) = id.await {
-                let _ = mail.send(Mail::Gone(id)).await;
-            }
-        });
-    }
-}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -28,8 +28,8 @@
 
 use crate::api::ApiError;
 use crate::config::{Config, ConfigError};
+use crate::core::Clock;
 use crate::core::Handle;
-use crate::core::actor::Clock;
 use crate::identity::Refused;
 use crate::interface::{Dur, Effect, Time};
 use crate::routing::{Catalog, Holdings, Needs, Numbers};
--- a/src/net/channel.rs
+++ b/src/net/channel/mod.rs
@@ -1,19 +1,22 @@
 //! Channels: the clients' side of the platform's protocol. A thin front: heads and bodies become RPCs, answers
 //! become streams or refusals. It decides nothing.
 
+mod facts;
+mod reply;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{BufMut, BytesMut};
 use serde::de::IgnoredAny;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::Semaphore;
 use tracing::debug;
 
-use super::http::{Body, Framing, Head, HttpError, MAX_BODY, plain};
+use super::http::{Body, Framing, Head, HttpError, MAX_BODY};
 use super::listener::{Next, Patience, Peer};
 use super::subchannel::payload;
-use crate::core::{Answer, Facts, Handle, Piece, Rpc};
-use crate::traces::{Traces, is_trace};
+use crate::core::{Answer, Handle, Rpc};
+use crate::traces::Traces;
+use reply::{Passed, Reply};
 
 /// The patience of a client that tells none, where its class tells none either.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -38,21 +41,6 @@
     pub traces: Traces,
 }
 
-/// An answer to a client.
-#[derive(Debug, PartialEq)]
-struct Reply {
-    status: u16,
-    reason: &'static str,
-    retry_in: Option<Duration>,
-    text: &'static str,
-}
-
-impl Reply {
-    fn new(status: u16, reason: &'static str, text: &'static str) -> Reply {
-        Reply { status, reason, retry_in: None, text }
-    }
-}
-
 struct Channel {
     front: Arc<Front>,
     peer: Peer,
@@ -68,16 +56,6 @@
     Bad(Reply),
 }
 
-/// What passing an answer on came to.
-enum Passed {
-    /// All of it, and whether the channel can be used again.
-    Whole(bool),
-    /// It broke off.
-    Broken,
-    /// Its client went.
-    Gone,
-}
-
 /// Serves one client's connection to its end.
 pub async fn run(front: Arc<Front>, peer: Peer) {
     let mut channel = Channel { front, peer };
@@ -179,121 +157,4 @@
             }
         }
     }
-
-    /// What a request's head tells, and its id.
-    fn facts<'a>(&self, head: &'a Head) -> Result<(Facts, &'a str), Reply> {
-        let bad = |text| Reply::new(400, "Bad Request", text);
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let class = head.get("x-qos").and_then(|name| place(&self.front.classes, name));
-        let class = class.ok_or(bad("X-Qos names no class"))?;
-        let tenant = match head.get("x-customer") {
-            Some(name) => place(&self.front.tenants, name).ok_or(bad("X-Customer names no tenant"))?,
-            None => 0,
-        };
-        let patience = match head.get("x-expires-in-ms") {
-            Some(ms) => Duration::from_millis(digits(ms).ok_or(bad("X-Expires-In-Ms"))?.into()),
-            None => self.front.deadlines.get(class).copied().unwrap_or(PATIENCE),
-        };
-        let id = head.get("x-trace-id").unwrap_or_default();
-        if !is_trace(id) || !plain(&head.target) {
-            return Err(bad("X-Trace-Id"));
-        }
-        let again = head.get("x-second-try");
-        let mut facts = Facts {
-            class: class as u32,
-            tenant: tenant as u32,
-            session: head.get("x-object").map(key),
-            prefix: None,
-            prompt: 0,
-            shared: 0,
-            cap: 0,
-            hint: Duration::ZERO,
-            received: Instant::now(),
-            patience: patience.min(MAX_PATIENCE),
-            repeat: again == Some("1"),
-            resumed: again == Some("again"),
-            live: true,
-            model: 0,
-            spent: 0,
-        };
-        for part in head.get("x-props").unwrap_or_default().split(',') {
-            let Some((name, value)) = part.split_once('=') else { continue };
-            let (name, value) = (name.trim(), value.trim());
-            let number = || digits(value).ok_or(bad("X-Props"));
-            match name {
-                "prefix" => facts.prefix = Some(key(value)).filter(|&p| p != 0),
-                "prompt_len" => facts.prompt = number()?,
-                "prefix_len" => facts.shared = number()?,
-                "max_out" => facts.cap = number()?,
-                _ => {}
-            }
-        }
-        Ok((facts, id))
-    }
-
-    /// Passes an answer's pieces on as they come. Where it breaks the connection ends without the last chunk.
-    async fn pass_on(&mut self, mut pieces: mpsc::Receiver<Piece>, close: bool) -> Result<Passed, HttpError> {
-        let close = close || self.peer.leaving();
-        let mut out = BytesMut::new();
-        out.put_slice(
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n",
-        );
-        out.put_slice(if close { b"Connection: close\r\n\r\n" } else { b"\r\n" });
-        loop {
-            let piece = tokio::select! {
-                biased;
-                piece = pieces.recv() => piece.unwrap_or(Piece::Broken),
-                () = self.peer.gone() => return Ok(Passed::Gone),
-            };
-            // what else has come by now goes out with it, in one write
-            let mut next = Some(piece);
-            let mut end = None;
-            while let Some(piece) = next {
-                match piece {
-                    Piece::Data(bytes) => {
-                        out.put_slice(format!("{:x}\r\n", bytes.len()).as_bytes());
-                        out.put_slice(&bytes);
-                        out.put_slice(b"\r\n");
-                    }
-                    Piece::Done => {
-                        out.put_slice(b"0\r\n\r\n");
-                        end = Some(Passed::Whole(!close));
-                    }
-                    Piece::Broken => end = Some(Passed::Broken),
-                }
-                next = if end.is_some() { None } else { pieces.try_recv().ok() };
-            }
-            self.peer.write(&out).await?;
-            out.clear();
-            if let Some(end) = end {
-                return Ok(end);
-            }
-        }
-    }
-
-    async fn reply(&mut self, reply: &Reply, close: bool) -> Result<Done, HttpError> {
-        let close = close || self.peer.leaving();
-        let Reply { status, reason, retry_in, text } = reply;
-        let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\n");
-        if let Some(wait) = retry_in {
-            head.push_str(&format!("Retry-After: {:.3}\r\n", wait.as_secs_f64()));
-        }
-        if close {
-            head.push_str("Connection: close\r\n");
-        }
-        head.push_str(&format!("Content-Length: {}\r\n\r\n{text}", text.len()));
-        self.peer.write(head.as_bytes()).await?;
-        Ok(if close { Done::Over } else { Done::Keep })
-    }
-}
-
-/// A whole number in digits alone.
-fn digits(text: &str) -> Option<u32> {
-    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
-}
-
-/// A key of 16 hex digits; any other text is folded into one.
-fn key(text: &str) -> u64 {
-    let hex = (1..=16).contains(&text.len()).then(|| u64::from_str_radix(text, 16).ok()).flatten();
-    hex.unwrap_or_else(|| crate::wire::replica_id(text).0)
 }
--- /dev/null
+++ b/src/net/subchannel/attempt.rs
@@ -0,0 +1,164 @@
+//! Call attempts: one send each, and what came of it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tracing::{debug, trace};
+
+use super::{Connection, SILENCE, Subchannel, TAIL};
+use crate::core::{Attempt, AttemptId, Ending, Mail, PIECES, Payload, Piece};
+use crate::interface::Outcome;
+use crate::net::http::{self, Body, Buffer, Framing, Head, HttpError};
+
+impl Subchannel {
+    /// Makes a call attempt, and tells the module how it ended.
+    pub(super) async fn attempt(self: Arc<Self>, attempt: Attempt) {
+        let Attempt { id, payload, deadline, begun, called_off } = attempt;
+        let ending = tokio::select! {
+            biased;
+            // the module has the outcome already; dropping the other branch closes the connection
+            _ = called_off => return trace!("attempt {id:?} called off"),
+            ending = self.call(id, payload, deadline, &begun) => ending,
+        };
+        if let Some((ending, end)) = ending {
+            let _ = self.mail.send(Mail::Ended(id, Instant::now(), ending)).await;
+            if let Some((pieces, last)) = end {
+                let _ = pieces.send(last).await;
+            }
+        }
+    }
+
+    pub(super) async fn call(
+        &self,
+        id: AttemptId,
+        payload: Payload,
+        deadline: Instant,
+        begun: &AtomicBool,
+    ) -> Option<(Ending, Option<(mpsc::Sender<Piece>, Piece)>)> {
+        let over = |outcome: Outcome| Some((Ending::from(outcome), None));
+        let Some(mut connection) = self.connect().await else { return over(Outcome::ConnectFailed) };
+        let left = deadline.saturating_duration_since(Instant::now()).as_millis().max(1);
+        let mut message = BytesMut::with_capacity(payload.preamble.len() + payload.body.len() + 96);
+        message.extend_from_slice(&payload.preamble);
+        let rest = format!("Host: {}\r\nX-Expires-In-Ms: {left}\r\n\r\n", self.address);
+        message.extend_from_slice(rest.as_bytes());
+        message.extend_from_slice(&payload.body);
+        begun.store(true, Ordering::Relaxed);
+        if let Err(e) = connection.stream.write_all(&message).await {
+            debug!("{}: broke within a request: {e}", self.address);
+            return over(Outcome::ConnectFailed);
+        }
+        self.figures.sent();
+        drop((message, payload));
+        let head = match http::read_answer_head(&mut connection.buffer, &mut connection.stream).await {
+            Ok(head) => head,
+            Err(e) => {
+                debug!("{}: no answer: {e}", self.address);
+                return over(Outcome::Reset);
+            }
+        };
+        let Ok(framing) = head.framing(true) else { return over(Outcome::Reset) };
+        if head.status == 200 {
+            return self.stream(id, connection, &head, framing).await;
+        }
+        self.read_rest(connection, &head, framing).await;
+        let never_ran = head.get("x-never-ran") == Some("1") && matches!(head.status, 503 | 504);
+        over(if never_ran { Outcome::Full } else { Outcome::Error })
+    }
+
+    /// Passes a stream on, piece by piece.
+    pub(super) async fn stream(
+        &self,
+        id: AttemptId,
+        mut connection: Connection,
+        head: &Head,
+        framing: Framing,
+    ) -> Option<(Ending, Option<(mpsc::Sender<Piece>, Piece)>)> {
+        if framing == Framing::ToEnd {
+            debug!("{}: a stream without framing", self.address);
+            return Some((Outcome::Reset.into(), None));
+        }
+        let mut body = Body::stream(framing);
+        let mut tail = BytesMut::new();
+        let mut started: Option<mpsc::Sender<Piece>> = None;
+        let whole = loop {
+            let Connection { stream, buffer, .. } = &mut connection;
+            let bytes = match next_piece(&mut body, buffer, stream, started.is_some()).await {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) => break true,
+                Err(e) => {
+                    debug!("{}: stream broke: {e}", self.address);
+                    break false;
+                }
+            };
+            tail.extend_from_slice(&bytes);
+            if tail.len() > 2 * TAIL {
+                tail = BytesMut::from(&tail[tail.len() - TAIL..]);
+            }
+            let pieces = match &started {
+                Some(pieces) => pieces,
+                None => {
+                    let (to, pieces) = mpsc::channel(PIECES);
+                    self.mail.send(Mail::First(id, Instant::now(), pieces)).await.ok()?;
+                    started.insert(to)
+                }
+            };
+            // a full channel holds up this connection alone; a closed one means that nobody wants the rest
+            if pieces.send(Piece::Data(bytes)).await.is_err() {
+                return Some((Outcome::Cancelled.into(), None));
+            }
+        };
+        // an answer without an event has served nobody
+        let Some(pieces) = started else { return Some((Outcome::Reset.into(), None)) };
+        if !whole {
+            return Some((Outcome::Reset.into(), Some((pieces, Piece::Broken))));
+        }
+        self.keep(connection, head);
+        let ending = Ending { outcome: Outcome::Ok, kept: kept(&tail), report: None };
+        Some((ending, Some((pieces, Piece::Done))))
+    }
+}
+
+/// A stream's next piece; none at its proper end. Guards against a spoilt stream on a connection that stays open:
+/// what has begun must be whole soon, the first piece comes with the head, and none is awaited for ever.
+async fn next_piece(
+    body: &mut Body,
+    buffer: &mut Buffer,
+    stream: &mut TcpStream,
+    started: bool,
+) -> Result<Option<Bytes>, HttpError> {
+    let silent = Instant::now() + if started { SILENCE } else { http::PART };
+    let mut midway = None;
+    loop {
+        if let Some(bytes) = body.take(buffer)? {
+            return Ok(Some(bytes));
+        }
+        if body.done() {
+            return Ok(None);
+        }
+        if body.midway(buffer) {
+            midway = midway.or(Some(Instant::now() + http::PART));
+        }
+        let until = midway.unwrap_or(silent).min(silent);
+        let read = tokio::time::timeout_at(until.into(), buffer.fill(stream)).await;
+        if read.map_err(|_| HttpError::Late)?? == 0 {
+            return Err(HttpError::Ended);
+        }
+    }
+}
+
+/// How much of the prompt was found kept, from a stream's last events.
+pub(super) fn kept(tail: &[u8]) -> Option<u32> {
+    let text = String::from_utf8_lossy(tail);
+    let lines = text.rsplit('\n').filter_map(|l| l.trim_end().strip_prefix("data:"));
+    lines.filter(|l| l.contains("cached_tokens")).find_map(|line| {
+        let event: serde_json::Value = serde_json::from_str(line.trim()).ok()?;
+        let tokens = event.pointer("/usage/prompt_tokens_details/cached_tokens")?.as_u64()?;
+        u32::try_from(tokens).ok()
+    })
+}
--- /dev/null
+++ b/src/net/subchannel/pool.rs
@@ -0,0 +1,118 @@
+//! A server's connections: idle ones that are watched, and new ones.
+
+use std::collections::VecDeque;
+use std::sync::{MutexGuard, PoisonError};
+use std::time::Instant;
+
+use bytes::Bytes;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use tracing::debug;
+
+use super::{Connection, IDLE_PART, MAX_REST, REST, Subchannel};
+use crate::net::budget::IdleMark;
+use crate::net::http::{Body, Buffer, Framing, Head};
+
+/// An idle connection, watched by a task of its own until it is wanted.
+pub(super) struct Idle {
+    wanted: oneshot::Sender<()>,
+    watch: JoinHandle<Option<Connection>>,
+}
+
+/// Idle connections, the latest used last.
+#[derive(Default)]
+pub(super) struct Pool {
+    pub(super) idle: VecDeque<Idle>,
+    pub(super) closed: bool,
+}
+
+impl Subchannel {
+    pub(super) fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads what is left of an answer, so that the connection can be used again.
+    pub(super) async fn read_rest(
+        &self,
+        mut connection: Connection,
+        head: &Head,
+        framing: Framing,
+    ) -> Option<Bytes> {
+        let mut body = Body::new(framing);
+        let Connection { stream, buffer, .. } = &mut connection;
+        let rest = timeout(REST, body.whole(buffer, stream, MAX_REST)).await.ok()?.ok()?;
+        if framing != Framing::ToEnd {
+            self.keep(connection, head);
+        }
+        Some(rest)
+    }
+
+    /// A connection of the pool, or a new one.
+    pub(super) async fn connect(&self) -> Option<Connection> {
+        loop {
+            let Some(idle) = self.pool().idle.pop_back() else { break };
+            let _ = idle.wanted.send(());
+            if let Ok(Some(connection)) = idle.watch.await {
+                return Some(connection);
+            }
+        }
+        let dial = async {
+            let permit = self.budget.take().await?;
+            let stream = match TcpStream::connect(self.address.as_str()).await {
+                Ok(stream) => stream,
+                Err(e) => {
+                    debug!("{}: can't connect: {e}", self.address);
+                    return None;
+                }
+            };
+            let _ = stream.set_nodelay(true);
+            Some(Connection { stream, buffer: Buffer::default(), _permit: permit })
+        };
+        timeout(self.options.connect_timeout, dial).await.ok().flatten()
+    }
+
+    /// Puts a connection back whose answer was read whole.
+    pub(super) fn keep(&self, connection: Connection, head: &Head) {
+        // guards against a second answer's bytes being taken for the next one's
+        if head.closes() || !connection.buffer.is_empty() {
+            return;
+        }
+        let until = Instant::now() + self.options.conn_idle.mul_f64(IDLE_PART);
+        let (wanted, called) = oneshot::channel();
+        let mut pool = self.pool();
+        if pool.closed {
+            return;
+        }
+        pool.idle.retain(|idle| !idle.watch.is_finished());
+        let watch = tokio::spawn(rest(connection, until, called, self.budget.idle()));
+        pool.idle.push_back(Idle { wanted, watch });
+    }
+}
+
+/// Watches an idle connection. It comes back only if nothing happened on it, before it nears its idle time.
+async fn rest(
+    connection: Connection,
+    until: Instant,
+    wanted: oneshot::Receiver<()>,
+    mut mark: IdleMark,
+) -> Option<Connection> {
+    let quiet = |connection: &Connection| {
+        let mut byte = [0];
+        matches!(connection.stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    };
+    tokio::pin!(wanted);
+    loop {
+        tokio::select! {
+            biased;
+            wanted = &mut wanted => return wanted.ok().filter(|()| quiet(&connection)).map(|()| connection),
+            () = mark.evicted() => return None,
+            () = tokio::time::sleep_until(until.into()) => return None,
+            _ = connection.stream.readable() => if !quiet(&connection) {
+                // guards against a request written to a connection that the server has closed
+                return None;
+            },
+        }
+    }
+}
