--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -2,6 +2,7 @@
 //! in chunks or to the connection's end.
 
 mod body;
+mod events;
 mod head;
 
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 pub use body::Body;
+pub use events::FirstEvent;
 pub use head::{Framing, Head, read_answer_head, request_head};
 
 /// A body holds so much at most.
@@ -21,7 +23,7 @@
 /// A chunk's size line, or a trailer, holds so much at most.
 const MAX_SIZE_LINE: usize = 4 << 10;
 /// A chunk of a stream holds so much at most: it is held until it is whole.
-const MAX_CHUNK: u64 = 256 << 10;
+pub const MAX_CHUNK: u64 = 256 << 10;
 /// Interim answers (1xx) in front of one answer at the most.
 const MAX_INTERIM: usize = 32;
 /// What has begun to come of a server's head or chunk must be whole within this.
--- a/src/net/subchannel/attempt.rs
+++ b/src/net/subchannel/attempt.rs
@@ -10,10 +10,10 @@
 use tokio::sync::mpsc;
 use tracing::{debug, trace};
 
-use super::{Connection, SILENCE, Subchannel, TAIL};
+use super::{Connection, EVENTS, SILENCE, Subchannel, TAIL};
 use crate::core::{Attempt, AttemptId, Ending, Mail, PIECES, Payload, Piece};
 use crate::interface::Outcome;
-use crate::net::http::{self, Body, Buffer, Framing, Head, HttpError};
+use crate::net::http::{self, Body, Buffer, FirstEvent, Framing, Head, HttpError};
 
 impl Subchannel {
     /// Makes a call attempt, and tells the module how it ended.
@@ -85,6 +85,10 @@
         }
         let mut body = Body::stream(framing);
         let mut tail = BytesMut::new();
+        // what has come ahead of the first event's end; an answer that is no event stream has none to wait for
+        let mut ahead = BytesMut::new();
+        let events = head.get("content-type").is_some_and(|kind| kind.starts_with(EVENTS));
+        let mut first = events.then(FirstEvent::default);
         let mut started: Option<mpsc::Sender<Piece>> = None;
         let whole = loop {
             let Connection { stream, buffer, .. } = &mut connection;
@@ -100,12 +104,23 @@
             if tail.len() > 2 * TAIL {
                 tail = BytesMut::from(&tail[tail.len() - TAIL..]);
             }
-            let pieces = match &started {
-                Some(pieces) => pieces,
+            let (pieces, bytes) = match &started {
+                Some(pieces) => (pieces, bytes),
                 None => {
+                    // guards against an attempt that is the client's from half an event on: where the server goes
+                    // then, nothing has served the client and it may still be served elsewhere
+                    let whole = first.as_mut().is_none_or(|first| first.add(&bytes));
+                    ahead.extend_from_slice(&bytes);
+                    if !whole && ahead.len() as u64 <= http::MAX_CHUNK {
+                        continue;
+                    }
+                    if !whole {
+                        debug!("{}: a stream without an event", self.address);
+                        break false;
+                    }
                     let (to, pieces) = mpsc::channel(PIECES);
                     self.mail.send(Mail::First(id, Instant::now(), pieces)).await.ok()?;
-                    started.insert(to)
+                    (&*started.insert(to), std::mem::take(&mut ahead).freeze())
                 }
             };
             // a full channel holds up this connection alone; a closed one means that nobody wants the rest
@@ -125,7 +140,7 @@
 }
 
 /// A stream's next piece; none at its proper end. Guards against a spoilt stream on a connection that stays open:
-/// what has begun must be whole soon, the first piece comes with the head, and none is awaited for ever.
+/// what has begun must be whole soon, the first event comes with the head, and none is awaited for ever.
 async fn next_piece(
     body: &mut Body,
     buffer: &mut Buffer,
--- a/src/net/subchannel/mod.rs
+++ b/src/net/subchannel/mod.rs
@@ -32,6 +32,8 @@
 const IDLE_PART: f64 = 0.8;
 /// Orders that wait for a subchannel's actor at the most.
 const MAILBOX: usize = 1024;
+/// The kind of an answer that holds a stream of events.
+const EVENTS: &str = "text/event-stream";
 /// The end of a stream that is searched for what was found kept.
 const TAIL: usize = 1024;
 
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -49,6 +49,11 @@
 #[case::full(plain("503 Full", "X-Never-Ran: 1\r\n"))]
 #[case::reset(vec![Step::Close])]
 #[case::no_event(vec![Step::Write(STREAM.into()), Step::Close])]
+#[case::half_an_event(vec![Step::Write(STREAM.into()), Step::Write(chunk("data: {\"choi")), Step::Sleep(20), Step::Close])]
+#[case::half_an_event_in_pieces(
+    vec![Step::Write(STREAM.into()), Step::Write(chunk("da")), Step::Sleep(20), Step::Write(chunk("ta: {}\n")), Step::Close]
+)]
+#[case::a_comment(vec![Step::Write(STREAM.into()), Step::Write(chunk(": note\n\n")), Step::Sleep(20), Step::Close])]
 #[tokio::test]
 async fn a_failed_attempt_is_tried_again_and_never_twice_at_once(#[case] failure: Vec<Step>) {
     let server = peer(move |n, _, _| if n == 0 { failure.clone() } else { answer("second") }).await;
