--- a/src/batch/line.rs
+++ b/src/batch/line.rs
@@ -106,7 +106,7 @@
     // model servers answer in streams; the result file gets the whole
     body.insert("stream".into(), true.into());
     let text = Value::Object(body).to_string();
-    let payload = payload("POST", endpoint, Some(trace), Bytes::from(text));
+    let payload = payload("POST", endpoint, Some(trace), Some(trace), Bytes::from(text));
     Ok(Ask { custom_id, prompt, prefix, cap, model, payload, chat })
 }
 
--- a/src/edge/service.rs
+++ b/src/edge/service.rs
@@ -314,7 +314,7 @@
         let patience = self.clock.instant(leg.until).saturating_duration_since(facts.received);
         let facts = Facts { cap: leg.cap, patience, model: number, spent: leg.spent, ..facts.clone() };
         let body = chat.body_for(name, leg.cap).into();
-        Rpc { facts, payload: payload("POST", "/v1/chat/completions", Some(trace), body) }
+        Rpc { facts, payload: payload("POST", "/v1/chat/completions", Some(trace), None, body) }
     }
 }
 
--- a/src/net/channel/mod.rs
+++ b/src/net/channel/mod.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Semaphore;
 use tracing::debug;
 
-use super::http::{Body, Framing, Head, HttpError, MAX_BODY};
+use super::http::{Body, Framing, Head, HttpError, MAX_BODY, plain};
 use super::listener::{Next, Patience, Peer};
 use super::subchannel::payload;
 use crate::core::{Answer, Handle, Rpc};
@@ -115,6 +115,7 @@
         let Some(_trace) = self.front.traces.take(id) else {
             return Ok(Done::Bad(Reply::new(409, "Conflict", "X-Trace-Id is in use")));
         };
+        let key = head.get("idempotency-key").filter(|key| plain(key));
         self.peer.go_on(head).await?;
         let (body, _room) = self.peer.whole(&mut body, MAX_BODY, &bodies).await?;
         // guards against a length that cuts a body short, which a model server would take for a request
@@ -126,7 +127,7 @@
         self.peer.arrived();
         // a request's time runs from its last byte, however slowly it came
         facts.received = Instant::now();
-        let rpc = Rpc { facts, payload: payload(&head.method, &head.target, Some(id), body) };
+        let rpc = Rpc { facts, payload: payload(&head.method, &head.target, Some(id), key, body) };
         let Ok(mut ticket) = self.front.core.submit(rpc).await else { return Ok(Done::Over) };
         let answer = tokio::select! {
             biased;
--- a/src/net/subchannel/mod.rs
+++ b/src/net/subchannel/mod.rs
@@ -80,12 +80,22 @@
     }
 }
 
-/// What a front submits to have sent: method, target, id and body pass on unchanged.
-pub fn payload(method: &str, target: &str, trace_id: Option<&str>, body: Bytes) -> Payload {
+/// What a front submits to have sent: method, target, id, idempotency key and body pass on unchanged. Without the key
+/// a model server can't tell a repeat of a keyed request, which the rules allow, from a request of its own.
+pub fn payload(
+    method: &str,
+    target: &str,
+    trace_id: Option<&str>,
+    key: Option<&str>,
+    body: Bytes,
+) -> Payload {
     let mut preamble = format!("{method} {target} HTTP/1.1\r\n");
     if let Some(id) = trace_id {
         preamble.push_str(&format!("X-Trace-Id: {id}\r\n"));
     }
+    if let Some(key) = key {
+        preamble.push_str(&format!("Idempotency-Key: {key}\r\n"));
+    }
     preamble.push_str(&format!("Content-Type: application/json\r\nContent-Length: {}\r\n", body.len()));
     Payload { preamble: preamble.into(), body }
 }
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -43,6 +43,20 @@
     assert!(body.ends_with(b"\"why?\"}]}"));
 }
 
+/// A class whose repeats model servers drop by their key: each attempt has to carry it as the client sent it.
+#[tokio::test]
+async fn an_idempotency_key_goes_on_with_every_attempt() {
+    let server = peer(|n, _, _| if n == 0 { vec![Step::Close] } else { answer("second") }).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut client = Client::new(&router.platform).await;
+    let key = "04ab3c19f472a940c53cd8909ca19d07";
+    let got = client.call(&request("batch-mark", 10_000, &format!("Idempotency-Key: {key}\r\n"))).await;
+    assert_eq!((got.head.status, got.whole), (200, true));
+    let seen = server.seen.lock().unwrap();
+    let keys: Vec<_> = seen.iter().map(|(head, _)| head.get("idempotency-key")).collect();
+    assert_eq!(keys, [Some(key); 2]);
+}
+
 /// The outcomes after which the module may try again; each send is an attempt that it ordered.
 #[rstest]
 #[case::error(plain("500 Oops", ""))]
