An attempt begins once, in time, by the list and the window as they are at its first byte

Core::resolved told the module of the drain and left attempts that had not begun where they were; only operators' orders took them back. By reading, the same gap stood for a repeat window that ends while a connection comes up, for a nap in between (on the roadmap), and for a time-out ahead of the first byte, told as 'may have run'. Ruled out: lists that came late (the change had been told), the module's choice. Change: core::Start decides between first byte and being taken back, once (compare and exchange), and not after the attempt's time: connect time-out and 100 ms, or the end of the repeat window. Lists and naps take attempts back that have not begun; a time-out ahead of the first byte never ran.

--- a/src/core/actor/actions.rs
+++ b/src/core/actor/actions.rs
@@ -2,7 +2,6 @@
 
 use std::cmp::Reverse;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
@@ -11,7 +10,7 @@
 use super::due::Due;
 use super::{Core, GUARD};
 use crate::core::table::Out;
-use crate::core::{Answer, Attempt, AttemptId, ListOrder, Maintenance, Order};
+use crate::core::{Answer, Attempt, AttemptId, ListOrder, Maintenance, Order, Start};
 use crate::interface::{Action, Dur, Event, ListKind, Outcome, ReplicaId, RequestId, Time};
 
 impl Core {
@@ -32,15 +31,15 @@
             self.events.push(Event::Members { kind: ListKind::Partial, entries: Arc::new([entry]) });
         }
         if leave_out {
-            self.take_back(replica, at);
+            self.take_back(|at| at == replica, at);
         }
         self.told = None;
         self.done.push((done, Some(self.bans.kept())));
     }
 
-    /// Takes back the call attempts at a server that have not begun: they never ran, and may go elsewhere.
-    pub(super) fn take_back(&mut self, replica: ReplicaId, at: Instant) {
-        let waits = |out: &Out| out.replica == replica && !out.begun.load(Ordering::Relaxed);
+    /// Takes back the call attempts at some servers that have not begun: they never ran, and may go elsewhere.
+    pub(super) fn take_back(&mut self, from: impl Fn(ReplicaId) -> bool, at: Instant) {
+        let waits = |out: &Out| from(out.replica) && out.start.take_back();
         let here = self.rpcs.iter().filter(|(_, open)| open.out.as_ref().is_some_and(waits));
         let here: Vec<RequestId> = here.map(|(id, _)| *id).collect();
         for request in here {
@@ -109,8 +108,8 @@
         let (hold, called_off) = oneshot::channel();
         let expires = Time(open.expires.0.saturating_sub(GUARD.0));
         let until = give_up.map_or(expires, |d| (now + d).min(expires));
-        let begun = Arc::<AtomicBool>::default();
-        let out = Out { trial, replica, since: at, until: Some(until), begun: begun.clone(), _hold: hold };
+        let start = Arc::new(Start::new(open.begins_by(at, self.begin_within)));
+        let out = Out { trial, replica, since: at, until: Some(until), start: start.clone(), _hold: hold };
         // guards against a second copy, an attempt too many and one that nobody waits for
         let moot = open.out.is_some() || open.answer.is_none() || spent >= self.max_attempts || until <= now;
         let payload = open.payload.clone();
@@ -120,7 +119,7 @@
         }
         open.out = Some(out);
         let deadline = self.clock.instant(until);
-        let attempt = Attempt { id: AttemptId { request, trial }, payload, deadline, begun, called_off };
+        let attempt = Attempt { id: AttemptId { request, trial }, payload, deadline, start, called_off };
         let sent = self.subchannels.get(&replica).map(|s| s.orders.try_send(Order::Attempt(attempt)).is_ok());
         if sent == Some(true) {
             self.due.push(Reverse((until, Due::Attempt(request, trial))));
--- a/src/core/actor/due.rs
+++ b/src/core/actor/due.rs
@@ -43,7 +43,7 @@
                     let Some(answer) = open.answer.take() else { continue };
                     warn!("rpc {}: no answer from the module by its expiry", request.0);
                     let _ = answer.send(Answer::Failed {
-                        sent: open.sent || open.out.is_some(),
+                        sent: open.sent || open.out.as_ref().is_some_and(|out| !out.start.take_back()),
                         attempts: open.trials,
                     });
                     self.gone(request);
--- a/src/core/actor/mail.rs
+++ b/src/core/actor/mail.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use rustc_hash::FxHashMap;
 use tokio::sync::oneshot;
 use tracing::{debug, trace};
 
@@ -92,6 +93,8 @@
             trials: 0,
             spent: rpc.facts.spent,
             sent: false,
+            window: self.windows.get(class as usize).copied().flatten(),
+            ran: None,
             live,
             out: None,
         };
@@ -133,8 +136,14 @@
         for host in &resolved.hosts {
             self.host(host);
         }
+        let whole = !matches!(resolved.kind, ListKind::Partial | ListKind::Error);
         let entries: Arc<[Entry]> = resolved.hosts.into_iter().map(|h| h.entry).collect();
-        self.events.push(Event::Members { kind: resolved.kind, entries });
+        self.events.push(Event::Members { kind: resolved.kind, entries: entries.clone() });
+        // guards against an attempt that waits for its connection while its server is drained, and begins past the
+        // bound: where connections may take longer than the bound, or come up late
+        let states: FxHashMap<ReplicaId, State> = entries.iter().map(|e| (e.replica, e.state)).collect();
+        let serves = |id| states.get(&id).map_or(!whole, |state| *state == State::InService);
+        self.take_back(|id| !serves(id), Instant::now());
     }
 
     pub(super) fn host(&mut self, host: &Host) {
@@ -163,7 +172,17 @@
     /// An attempt has its outcome: exactly one each.
     pub(super) fn over(&mut self, request: RequestId, out: Out, ending: Ending, at: Instant) {
         let Some(open) = self.rpcs.get_mut(&request) else { return };
+        let mut ending = ending;
+        // whatever ended it, it doesn't begin any more
+        let never_began = out.start.take_back();
+        // guards against a request that may have run for all that is known, when its first byte never went out
+        if ending.outcome == Outcome::Timeout && never_began {
+            ending.outcome = Outcome::ConnectFailed;
+        }
         open.sent |= !matches!(ending.outcome, Outcome::ConnectFailed | Outcome::Moot);
+        if !ending.outcome.never_ran() {
+            open.ran.get_or_insert(out.since);
+        }
         let took = Dur(at.saturating_duration_since(out.since).as_micros() as u64);
         let at = out.replica.0;
         trace!("rpc {} attempt {} at {at:x}: {:?} after {} us", request.0, out.trial, ending.outcome, took.0);
--- a/src/core/actor/mod.rs
+++ b/src/core/actor/mod.rs
@@ -18,7 +18,7 @@
 use super::table::Open;
 use super::{Clock, Connector, Handle, ListOrder, Load, MAILBOX, Mail, Maintenance, Order};
 use crate::Balancer;
-use crate::interface::{Action, Dur, Event, ReplicaId, RequestId, Settings, Time};
+use crate::interface::{Action, Class, Dur, Effect, Event, ReplicaId, RequestId, Settings, Time};
 use crate::ops::bans::{Ban, Bans};
 use crate::ops::figures::Figures;
 use due::Due;
@@ -49,6 +49,8 @@
     pub seed: u64,
     /// The most RPCs open at once.
     pub max_open: usize,
+    /// An attempt whose first byte is not out so long after its order is not sent any more.
+    pub begin_within: Duration,
     /// Makes subchannels.
     pub connector: Box<dyn Connector>,
     /// The list's actor.
@@ -69,6 +71,9 @@
     period: Duration,
     max_attempts: u32,
     max_open: usize,
+    begin_within: Duration,
+    /// How long repeats of each class's requests are allowed, where that is bounded.
+    windows: Vec<Option<Duration>>,
     connector: Box<dyn Connector>,
     resolver: mpsc::Sender<ListOrder>,
     mail: mpsc::Receiver<Mail>,
@@ -89,6 +94,11 @@
     actions: Vec<Action>,
 }
 
+/// How long repeats of a class's requests are allowed, where that is bounded.
+fn window(class: &Class) -> Option<Duration> {
+    (class.effect == Effect::Keyed).then(|| Duration::from_micros(class.window.0))
+}
+
 impl Core {
     /// Makes an actor that knows no hosts yet, and its mailbox.
     pub fn new(parts: Parts) -> (Core, mpsc::Sender<Mail>) {
@@ -99,6 +109,8 @@
             period: Duration::from_micros(parts.settings.period.0),
             max_attempts: parts.settings.max_attempts,
             max_open: parts.max_open,
+            begin_within: parts.begin_within,
+            windows: parts.settings.classes.iter().map(window).collect(),
             balancer: Balancer::new(parts.settings, parts.seed, clock.at(Instant::now())),
             clock,
             connector: parts.connector,
@@ -161,6 +173,8 @@
             stepped = Instant::now();
             if let Some(nap) = self.naps.runs(stepped) {
                 info!("away for {} ms: asking for the list before anything is sent", nap.as_millis());
+                // guards against an attempt that was ordered by the list as it was before
+                self.take_back(|_| true, stepped);
                 if self.resolver.try_send(ListOrder::Confirm).is_err() {
                     self.naps.told();
                 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,10 +9,10 @@
 mod handle;
 mod load;
 pub mod naps;
+mod start;
 mod table;
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -24,6 +24,7 @@
 pub use clock::Clock;
 pub use handle::{Closed, Handle, Ticket};
 pub use load::Load;
+pub use start::Start;
 
 /// Pieces of an answer that wait for a slow client at the most; the subchannel's connection then waits too.
 pub const PIECES: usize = 16;
@@ -200,8 +201,8 @@
     pub payload: Payload,
     /// When the router stops waiting for its first piece.
     pub deadline: Instant,
-    /// Set once its first byte is about to be written: from then on it can't be taken back.
-    pub begun: Arc<AtomicBool>,
+    /// Asked just before its first byte is written: from then on it can't be taken back.
+    pub start: Arc<Start>,
     /// Closes when the attempt is called off.
     pub called_off: oneshot::Receiver<()>,
 }
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -1,12 +1,11 @@
 //! The RPC table: which RPCs are open and where each one's call attempts stand.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
 
-use super::{Answer, Payload};
+use super::{Answer, Payload, Start};
 use crate::interface::{ReplicaId, Time};
 
 /// The call attempt that is out.
@@ -20,8 +19,8 @@
     pub since: Instant,
     /// When the router stops waiting; none once it has begun to answer.
     pub until: Option<Time>,
-    /// Set once its first byte is about to be written.
-    pub begun: Arc<AtomicBool>,
+    /// Whether it has begun, or was taken back.
+    pub start: Arc<Start>,
     /// Dropped to call it off.
     pub _hold: oneshot::Sender<()>,
 }
@@ -43,6 +42,10 @@
     pub spent: u32,
     /// Some attempt reached a server.
     pub sent: bool,
+    /// Repeats are allowed for so long from the first attempt that may have run on; none where that is no matter.
+    pub window: Option<Duration>,
+    /// When that attempt was ordered.
+    pub ran: Option<Instant>,
     /// Somebody waits for it now.
     pub live: bool,
     /// The one attempt that is out. At most one: an order while it is out is moot.
@@ -50,6 +53,13 @@
 }
 
 impl Open {
+    /// Until when an attempt that is ordered now may begin, where `within` is what its connection may take. Guards
+    /// against a repeat that is in its window when it is ordered and out of it when its connection has come up.
+    pub fn begins_by(&self, now: Instant, within: Duration) -> Instant {
+        let window = self.ran.zip(self.window).map(|(ran, window)| ran + window);
+        window.map_or(now + within, |end| end.min(now + within))
+    }
+
     /// Whether nothing more is owed or awaited.
     pub fn over(&self) -> bool {
         self.answer.is_none() && self.out.is_none()
--- a/src/net/subchannel/attempt.rs
+++ b/src/net/subchannel/attempt.rs
@@ -1,7 +1,6 @@
 //! Call attempts: one send each, and what came of it.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
@@ -11,19 +10,19 @@
 use tracing::{debug, trace};
 
 use super::{Connection, EVENTS, SILENCE, Subchannel, TAIL};
-use crate::core::{Attempt, AttemptId, Ending, Mail, PIECES, Payload, Piece};
+use crate::core::{Attempt, AttemptId, Ending, Mail, PIECES, Payload, Piece, Start};
 use crate::interface::Outcome;
 use crate::net::http::{self, Body, Buffer, FirstEvent, Framing, Head, HttpError};
 
 impl Subchannel {
     /// Makes a call attempt, and tells the module how it ended.
     pub(super) async fn attempt(self: Arc<Self>, attempt: Attempt) {
-        let Attempt { id, payload, deadline, begun, called_off } = attempt;
+        let Attempt { id, payload, deadline, start, called_off } = attempt;
         let ending = tokio::select! {
             biased;
             // the module has the outcome already; dropping the other branch closes the connection
             _ = called_off => return trace!("attempt {id:?} called off"),
-            ending = self.call(id, payload, deadline, &begun) => ending,
+            ending = self.call(id, payload, deadline, &start) => ending,
         };
         if let Some((ending, end)) = ending {
             let _ = self.mail.send(Mail::Ended(id, Instant::now(), ending)).await;
@@ -38,7 +37,7 @@
         id: AttemptId,
         payload: Payload,
         deadline: Instant,
-        begun: &AtomicBool,
+        start: &Start,
     ) -> Option<(Ending, Option<(mpsc::Sender<Piece>, Piece)>)> {
         let over = |outcome: Outcome| Some((Ending::from(outcome), None));
         let Some(mut connection) = self.connect().await else { return over(Outcome::ConnectFailed) };
@@ -48,7 +47,10 @@
         let rest = format!("Host: {}\r\nX-Expires-In-Ms: {left}\r\n\r\n", self.address);
         message.extend_from_slice(rest.as_bytes());
         message.extend_from_slice(&payload.body);
-        begun.store(true, Ordering::Relaxed);
+        if !start.begin(Instant::now()) {
+            debug!("{}: an attempt that comes too late is not begun", self.address);
+            return over(Outcome::ConnectFailed);
+        }
         if let Err(e) = connection.stream.write_all(&message).await {
             debug!("{}: broke within a request: {e}", self.address);
             return over(Outcome::ConnectFailed);
--- a/src/net/subchannel/mod.rs
+++ b/src/net/subchannel/mod.rs
@@ -28,6 +28,9 @@
 const REST: Duration = Duration::from_millis(100);
 /// Such a body holds so much at most.
 const MAX_REST: usize = 16 << 10;
+/// An attempt may begin so long after its connection must have been up. Room for the actors between the two; guards
+/// against one that is written after the process was stopped in between.
+pub const LATE: Duration = Duration::from_millis(100);
 /// Part of the idle time allowed after which a connection is not used again: the server may be closing it.
 const IDLE_PART: f64 = 0.8;
 /// Orders that wait for a subchannel's actor at the most.
--- a/src/router.rs
+++ b/src/router.rs
@@ -208,6 +208,7 @@
         settings: config.settings.clone(),
         seed: config.seed,
         max_open: config.max_open,
+        begin_within: config.connect_timeout + subchannel::LATE,
         connector: Box::new(connector),
         resolver: asks.clone(),
         bans: orders.bans.iter().map(|ban| (replica_id(&ban.name), ban.clone())).collect(),
--- a/tests/common/scripted.rs
+++ b/tests/common/scripted.rs
@@ -1,6 +1,7 @@
 //! A core with a scripted connector.
 
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use stilespan::core::actor::Parts;
 use stilespan::core::{Connector, Host, ListOrder, Order};
@@ -30,6 +31,7 @@
         settings: Settings::default(),
         seed: 1,
         max_open: 10,
+        begin_within: Duration::from_millis(350),
         connector: Box::new(connector),
         resolver,
         bans: Vec::new(),
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,232 @@
+//! Where two events cross, at the core: a scripted connector holds call attempts before their first byte, and the test
+//! decides what comes first. Each row of `docs/design/crossings.md` that needs no socket has its test here.
+
+mod common;
+
+use std::time::Instant;
+
+use common::scripted::*;
+use rstest::rstest;
+use stilespan::core::actor::{Core, Parts};
+use stilespan::core::{Answer, Attempt, Ending, Facts, Handle, Mail, Order, Resolved, Rpc};
+use stilespan::interface::{Class, Dur, Effect, ListKind, Outcome, ReplicaId, Settings, State};
+use tokio::sync::mpsc;
+use tokio::time::{Duration, sleep, timeout};
+
+const SOON: Duration = Duration::from_secs(5);
+
+fn rpc(patience: u64) -> Rpc {
+    let facts = Facts {
+        class: 0,
+        tenant: 0,
+        session: None,
+        prefix: None,
+        prompt: 10,
+        shared: 0,
+        cap: 10,
+        hint: Duration::ZERO,
+        received: Instant::now(),
+        patience: Duration::from_millis(patience),
+        repeat: false,
+        resumed: false,
+        live: true,
+        model: 0,
+        spent: 0,
+    };
+    Rpc { facts, payload: Default::default() }
+}
+
+/// A core with so many hosts, and what their subchannels are ordered.
+struct Running {
+    handle: Handle,
+    mail: mpsc::Sender<Mail>,
+    opened: Opened,
+    _asked: mpsc::Receiver<stilespan::core::ListOrder>,
+}
+
+async fn running(hosts: u64, class: Class) -> Running {
+    let opened = Opened::default();
+    let (resolver, asked) = mpsc::channel(4);
+    let settings = Settings { classes: vec![class], max_attempts: 3, cancel: true, ..Settings::default() };
+    let parts = Parts {
+        settings,
+        begin_within: Duration::from_secs(20),
+        ..parts(Scripted(opened.clone()), resolver)
+    };
+    let (handle, mail) = Core::start(parts);
+    let running = Running { handle, mail, opened, _asked: asked };
+    running
+        .list(ListKind::Complete, (1..=hosts).map(|id| host(id, &format!("127.0.0.1:{id}"), 0)).collect())
+        .await;
+    while running.opened.lock().unwrap().len() < hosts as usize {
+        sleep(Duration::from_millis(1)).await;
+    }
+    running
+}
+
+impl Running {
+    async fn list(&self, kind: ListKind, hosts: Vec<stilespan::core::Host>) {
+        self.mail.send(Mail::Resolved(Resolved { kind, hosts })).await.unwrap();
+    }
+
+    /// The next attempt that is ordered, and where.
+    async fn attempt(&self) -> (ReplicaId, Attempt) {
+        let next = async {
+            loop {
+                for (replica, orders) in self.opened.lock().unwrap().iter_mut() {
+                    while let Ok(order) = orders.try_recv() {
+                        if let Order::Attempt(attempt) = order {
+                            return (*replica, attempt);
+                        }
+                    }
+                }
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        timeout(SOON, next).await.expect("an attempt is ordered")
+    }
+
+    async fn ended(&self, attempt: &Attempt, outcome: Outcome) {
+        self.mail.send(Mail::Ended(attempt.id, Instant::now(), Ending::from(outcome))).await.unwrap();
+    }
+}
+
+/// A server is drained, has gone, or is left out of a whole list while an attempt waits for its connection there.
+#[rstest]
+#[case::drained(ListKind::Partial, Some(State::Terminating))]
+#[case::gone(ListKind::Partial, Some(State::Terminated))]
+#[case::drained_in_a_whole_list(ListKind::Complete, Some(State::Terminating))]
+#[case::left_out_of_a_whole_list(ListKind::Complete, None)]
+#[tokio::test]
+async fn an_attempt_that_has_not_begun_is_taken_back_from_a_drained_server(
+    #[case] kind: ListKind,
+    #[case] state: Option<State>,
+) {
+    let core = running(2, Class::default()).await;
+    let _ticket = core.handle.submit(rpc(5000)).await.unwrap();
+    let (at, mut waits) = core.attempt().await;
+    let hosts = (1..=2).map(|id| host(id, &format!("127.0.0.1:{id}"), 0)).filter_map(|mut host| {
+        if host.entry.replica == at {
+            host.entry.state = state?;
+        }
+        Some(host)
+    });
+    core.list(kind, hosts.collect()).await;
+    let (other, attempt) = core.attempt().await;
+    assert_ne!(other, at);
+    assert!(!waits.start.begin(Instant::now()), "begun at a server that the list has drained");
+    assert!(timeout(SOON, &mut waits.called_off).await.expect("called off").is_err());
+    assert!(attempt.start.begin(Instant::now()));
+}
+
+/// What has begun stays where it is: a draining server finishes what it holds.
+#[tokio::test]
+async fn an_attempt_that_has_begun_stays_with_a_drained_server() {
+    let core = running(2, Class::default()).await;
+    let _ticket = core.handle.submit(rpc(5000)).await.unwrap();
+    let (at, mut begun) = core.attempt().await;
+    assert!(begun.start.begin(Instant::now()));
+    let mut drained = host(at.0, &format!("127.0.0.1:{}", at.0), 0);
+    drained.entry.state = State::Terminating;
+    core.list(ListKind::Partial, vec![drained]).await;
+    assert!(timeout(Duration::from_millis(100), &mut begun.called_off).await.is_err(), "called off");
+}
+
+/// A repeat that was ordered within its window, and whose connection comes up after it.
+#[tokio::test]
+async fn a_repeat_does_not_begin_after_its_window() {
+    let class = Class { effect: Effect::Keyed, window: Dur(400_000), ..Class::default() };
+    let core = running(2, class).await;
+    let _ticket = core.handle.submit(rpc(5000)).await.unwrap();
+    let (_, first) = core.attempt().await;
+    let sent = Instant::now();
+    assert!(first.start.begin(sent));
+    core.ended(&first, Outcome::Reset).await;
+    let (_, repeat) = core.attempt().await;
+    assert!(!repeat.start.begin(sent + Duration::from_millis(401)), "begun after its window");
+    assert!(repeat.start.begin(sent + Duration::from_millis(300)), "not begun in its window");
+}
+
+/// An attempt whose connection has not come up when its time is over has never run: the client may come again, also
+/// where a second run would do harm.
+#[rstest]
+#[case::not_begun(false)]
+#[case::begun(true)]
+#[tokio::test]
+async fn a_time_out_before_the_first_byte_never_ran(#[case] begins: bool) {
+    let class = Class { effect: Effect::Unsafe, aim: Dur(200_000), ..Class::default() };
+    let core = running(1, class).await;
+    let mut ticket = core.handle.submit(rpc(300)).await.unwrap();
+    let (_, attempt) = core.attempt().await;
+    if begins {
+        assert!(attempt.start.begin(Instant::now()));
+    }
+    let answer = timeout(SOON, ticket.answer()).await.expect("an answer");
+    match answer {
+        Answer::Refused { sent, .. } => assert!(!begins && !sent),
+        Answer::Failed { sent, .. } => assert!(begins && sent),
+        Answer::Started(_) => panic!("nothing has answered"),
+    }
+}
+
+/// The process sleeps between an attempt's order and its first byte.
+#[tokio::test]
+async fn an_attempt_ordered_before_a_nap_is_not_begun_after_it() {
+    // nothing else ends the attempt as it wakes
+    let class = Class { aim: Dur(10_000_000), deadline: Dur(15_000_000), ..Class::default() };
+    let core = running(1, class).await;
+    let _ticket = core.handle.submit(rpc(15_000)).await.unwrap();
+    let (_, mut attempt) = core.attempt().await;
+    std::thread::sleep(Duration::from_millis(700));
+    assert!(timeout(SOON, &mut attempt.called_off).await.expect("called off").is_err());
+    assert!(!attempt.start.begin(Instant::now()));
+}
+
+/// Two outcomes of one attempt, in either order, and one that comes after its attempt was given up: the first counts.
+#[rstest]
+#[case::reset_then_refused([Outcome::Reset, Outcome::Full])]
+#[case::refused_then_reset([Outcome::Full, Outcome::Reset])]
+#[case::twice_the_same([Outcome::Error, Outcome::Error])]
+#[tokio::test]
+async fn an_attempt_has_one_outcome(#[case] outcomes: [Outcome; 2]) {
+    let core = running(2, Class::default()).await;
+    let _ticket = core.handle.submit(rpc(5000)).await.unwrap();
+    let (_, first) = core.attempt().await;
+    assert!(first.start.begin(Instant::now()));
+    for outcome in outcomes {
+        core.ended(&first, outcome).await;
+    }
+    let (_, mut second) = core.attempt().await;
+    assert_eq!(second.id.trial, 1);
+    assert!(second.start.begin(Instant::now()));
+    // the late outcome of the first is none of the second, and orders no third beside it
+    core.ended(&first, Outcome::Reset).await;
+    assert!(timeout(Duration::from_millis(100), &mut second.called_off).await.is_err(), "called off");
+    let third = timeout(Duration::from_millis(100), core.attempt()).await;
+    assert!(third.is_err(), "a second copy");
+}
+
+/// A client that leaves while its attempt waits for a connection, and between two attempts.
+#[rstest]
+#[case::waiting_for_a_connection(false)]
+#[case::between_attempts(true)]
+#[tokio::test]
+async fn no_attempt_begins_for_a_client_that_has_gone(#[case] between: bool) {
+    let core = running(2, Class::default()).await;
+    let ticket = core.handle.submit(rpc(5000)).await.unwrap();
+    let (_, attempt) = core.attempt().await;
+    if between {
+        assert!(attempt.start.begin(Instant::now()));
+        // the outcome and the news that the client has gone are taken in together
+        core.mail.try_send(Mail::Ended(attempt.id, Instant::now(), Outcome::Reset.into())).unwrap();
+        drop(ticket);
+        if let Ok((_, late)) = timeout(Duration::from_millis(100), core.attempt()).await {
+            sleep(Duration::from_millis(50)).await;
+            assert!(!late.start.begin(Instant::now()), "begun for a client that has gone");
+        }
+    } else {
+        drop(ticket);
+        sleep(Duration::from_millis(50)).await;
+        assert!(!attempt.start.begin(Instant::now()), "begun for a client that has gone");
+    }
+}
