A stream whose last event has come is whole, also where its connection breaks then

Change: a break after a whole 'data: [DONE]' ends the client's stream properly; the connection is not used again. Tests: a_stream_that_breaks_after_its_last_event_is_whole, a_stream_is_done_with_its_last_event.

--- a/src/net/subchannel/attempt.rs
+++ b/src/net/subchannel/attempt.rs
@@ -132,10 +132,11 @@
         };
         // an answer without an event has served nobody
         let Some(pieces) = started else { return Some((Outcome::Reset.into(), None)) };
-        if !whole {
+        if whole {
+            self.keep(connection, head);
+        } else if !done(&tail) {
             return Some((Outcome::Reset.into(), Some((pieces, Piece::Broken))));
         }
-        self.keep(connection, head);
         let ending = Ending { outcome: Outcome::Ok, kept: kept(&tail), report: None };
         Some((ending, Some((pieces, Piece::Done))))
     }
@@ -169,6 +170,13 @@
     }
 }
 
+/// Whether a stream's last event has come whole: where its connection breaks after that, ahead of the last chunk, no event
+/// is missing. Comments may follow it.
+pub(super) fn done(tail: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(tail).replace("\r\n", "\n");
+    text.rsplit_once("data: [DONE]\n\n").is_some_and(|(_, after)| !after.contains("data:"))
+}
+
 /// How much of the prompt was found kept, from a stream's last events.
 pub(super) fn kept(tail: &[u8]) -> Option<u32> {
     let text = String::from_utf8_lossy(tail);
--- a/src/net/subchannel/tests.rs
+++ b/src/net/subchannel/tests.rs
@@ -1,4 +1,6 @@
-use super::attempt::kept;
+use rstest::rstest;
+
+use super::attempt::{done, kept};
 use super::probe::load_report;
 
 #[test]
@@ -19,3 +21,15 @@
         assert!(report[2].is_nan());
     }
 }
+
+#[rstest]
+#[case::whole("data: {}\n\ndata: [DONE]\n\n", true)]
+#[case::returns("data: {}\r\n\r\ndata: [DONE]\r\n\r\n", true)]
+#[case::a_comment_after_it("data: [DONE]\n\n: Endpoint-Load-Metrics: TEXT util=0.6", true)]
+#[case::half("data: {}\n\ndata: [DO", false)]
+#[case::no_blank_line("data: [DONE]\n", false)]
+#[case::an_event_after_it("data: [DONE]\n\ndata: {\"choices\"", false)]
+#[case::none("data: {}\n\n", false)]
+fn a_stream_is_done_with_its_last_event(#[case] tail: &str, #[case] is: bool) {
+    assert_eq!(done(tail.as_bytes()), is);
+}
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -91,6 +91,21 @@
     assert_eq!(client.call(b"GET /_health HTTP/1.1\r\n\r\n").await.head.status, 200);
 }
 
+/// The server's connection goes after the last event and ahead of the last chunk: no event is missing.
+#[tokio::test]
+async fn a_stream_that_breaks_after_its_last_event_is_whole() {
+    let all = format!("{STREAM}{}{}", chunk(&event("all")), chunk("data: [DONE]\n\n: Endpoint"));
+    let server = peer(move |_, _, _| vec![Step::Write(all.clone()), Step::Sleep(20), Step::Close]).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut client = Client::new(&router.platform).await;
+    for requests in 1..=2 {
+        let got = client.call(&request("hint", 1000, "")).await;
+        assert_eq!((got.head.status, got.whole), (200, true));
+        assert!(got.body.contains("all") && got.body.contains("[DONE]"));
+        assert_eq!(server.requests(), requests);
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_breaks_ends_without_the_last_chunk() {
     let broken = format!("{STREAM}{}", chunk(&event("half")));
