Very large settings don't overflow an aim; KNOWN-RED.txt and its handling in the check

Cause: no test read settings of another customer with odd figures. With an aim's part per 1,000 tokens of u64::MAX or 1e300 the module's arrive() overflowed (a panic in debug builds, a senseless aim in release ones). Ruled out: the other figures of the settings, each at zero, below zero, tiny, huge, of another kind and missing, and each part of the file missing: refused with the file's name, or run. No file means none; there is none. Tests: tests/settings.rs (two cases seen to fail without the change), tests/known_red.rs with a stand-in runner.

--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -10,9 +10,9 @@
         let class = (arrival.class as usize).min(self.set.classes.len().saturating_sub(1));
         let arrival = Arrival { class: class as u32, ..arrival };
         let Some(c) = self.set.classes.get(class) else { return };
-        let stretch = c.aim.0 + (c.aim_stretch * arrival.hint.0 as f64) as u64;
-        let aim = Dur(stretch.min(c.deadline.0) + c.aim_per_1000.0 * u64::from(arrival.prompt) / 1000);
-        let due = (self.now + aim).min(arrival.valid_until);
+        let stretch = c.aim.0.saturating_add((c.aim_stretch * arrival.hint.0 as f64) as u64);
+        let reading = Dur(c.aim_per_1000.0.saturating_mul(u64::from(arrival.prompt)) / 1000);
+        let due = (self.now + Dur(stretch.min(c.deadline.0)) + reading).min(arrival.valid_until);
         let expires = if c.late_worth > 0.0 { arrival.valid_until } else { due };
         // a session's next turn is cheap where its prompt is kept, and so shed last
         let work = self.work(&arrival, self.kept_at(&arrival));
--- a/test.sh
+++ b/test.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# The whole check: format, lints, tests, release build.
+# The whole check: format, lints, tests, release build. Tests that KNOWN-RED.txt lists are run apart, printed, and may fail.
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo fmt --all --check
 cargo clippy --locked --workspace --all-targets -- -D warnings
 cargo build --release --locked
-cargo test --locked --workspace
+bash tests/known_red.sh
