An idle connection is looked at in the system just before it is used; room for a body whatever the limit

Cause: by reading. subchannel's pool judged an idle connection by the runtime's readiness, which is as old as its last wait: a server's close or an unsolicited answer that had come since was not seen, the request was written and its outcome was a reset ('may have run'). And with a limit of memory of zero or a few hundred KiB no body ever found room: each request was a 408 after 2.5 s. Ruled out, by test: an attempt for a client that left while its body waited for room (period 0 and room for two bodies): it is called off ahead of its first byte as it is; a look ahead of the submit made no difference and is left out. Change: net/look peeks (socket2, a dependency of tokio's already); two of the largest bodies always find room.

--- a/src/net/subchannel/pool.rs
+++ b/src/net/subchannel/pool.rs
@@ -14,6 +14,7 @@
 use super::{Connection, IDLE_PART, MAX_REST, REST, Subchannel};
 use crate::net::budget::IdleMark;
 use crate::net::http::{Body, Buffer, Framing, Head};
+use crate::net::look::{Sight, look};
 
 /// An idle connection, watched by a task of its own until it is wanted.
 pub(super) struct Idle {
@@ -92,16 +93,14 @@
 }
 
 /// Watches an idle connection. It comes back only if nothing happened on it, before it nears its idle time.
-async fn rest(
+pub(super) async fn rest(
     connection: Connection,
     until: Instant,
     wanted: oneshot::Receiver<()>,
     mut mark: IdleMark,
 ) -> Option<Connection> {
-    let quiet = |connection: &Connection| {
-        let mut byte = [0];
-        matches!(connection.stream.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
-    };
+    // looked up in the system: guards against a request written to a connection that the server closed since the last wait
+    let quiet = |connection: &Connection| look(&connection.stream) == Sight::Quiet;
     tokio::pin!(wanted);
     loop {
         tokio::select! {
--- a/src/net/subchannel/tests.rs
+++ b/src/net/subchannel/tests.rs
@@ -1,6 +1,13 @@
 use rstest::rstest;
 
+use std::time::{Duration, Instant};
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+
+use super::Connection;
 use super::attempt::{done, kept};
+use super::pool::rest;
 use super::probe::load_report;
 
 #[test]
@@ -33,3 +40,37 @@
 fn a_stream_is_done_with_its_last_event(#[case] tail: &str, #[case] is: bool) {
     assert_eq!(done(tail.as_bytes()), is);
 }
+
+/// The server closes an idle connection, or writes to it, and the next request wants it before the runtime has waited again.
+#[rstest]
+#[case::untouched(None, true)]
+#[case::closed(Some(""), false)]
+#[case::written_to(Some("HTTP/1.1 408 Request Timeout\r\n\r\n"), false)]
+#[tokio::test]
+async fn an_idle_connection_is_looked_at_just_before_it_is_used(
+    #[case] event: Option<&str>,
+    #[case] good: bool,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let dial = TcpStream::connect(listener.local_addr().unwrap());
+    let (stream, server) = tokio::join!(dial, listener.accept());
+    let budget = crate::net::budget::Budget::new(2);
+    let _permit = budget.take().await.unwrap();
+    let connection = Connection { stream: stream.unwrap(), buffer: Default::default(), _permit };
+    let (wanted, called) = oneshot::channel();
+    let until = Instant::now() + Duration::from_secs(60);
+    let watch = tokio::spawn(rest(connection, until, called, budget.idle()));
+    tokio::task::yield_now().await;
+    let server = server.unwrap().0.into_std().unwrap();
+    if let Some(text) = event {
+        std::io::Write::write_all(&mut &server, text.as_bytes()).unwrap();
+        if text.is_empty() {
+            drop(server);
+        } else {
+            std::mem::forget(server);
+        }
+    }
+    // the runtime is not let wait: it knows nothing of this yet
+    wanted.send(()).unwrap();
+    assert_eq!(watch.await.unwrap().is_some(), good);
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,6 +21,7 @@
 use crate::inventory;
 use crate::net::channel::{self, Front};
 use crate::net::handover::{Handover, Meeting, Room, Shares};
+use crate::net::http::MAX_BODY;
 use crate::net::listener::{self, Shared};
 use crate::net::{admin, resolver, subchannel};
 use crate::ops::figures::Figures;
@@ -32,6 +33,9 @@
 
 /// Part of the memory that bodies of requests may fill.
 const BODY_PART: usize = 3;
+/// Room for bodies, in KiB, whatever the limit of memory: for each process of a handover one of the largest. Guards against
+/// a limit that is zero or tiny, with which no body would ever find room.
+const LEAST_BODIES: usize = 2 * (MAX_BODY >> 10);
 
 /// What a router runs with.
 pub struct Plan {
@@ -163,7 +167,8 @@
     {
         config.known = Some(list);
     }
-    let shares = Shares::new(config.sockets, (config.memory / BODY_PART) >> 10, before.is_none());
+    let bodies = ((config.memory / BODY_PART) >> 10).max(LEAST_BODIES);
+    let shares = Shares::new(config.sockets, bodies, before.is_none());
     let shares = Arc::new(shares);
     let servers = shares.servers.clone();
     let (drain, drained) = watch::channel(None);
