A server that is back at its address with a new start gets a subchannel of its own

Cause: by reading (crossings of the list). Core::host opened a subchannel anew only for another address. Where a server went without a word and its process is back under the same id and address, idle connections of the process before were still in the pool; a request written to one is reset, and 'may have run' though it never did. Ruled out: attempts under way; they end with their connection as before. Change: address and start name a subchannel. Test: tests/core.rs a_restarted_server_has_a_subchannel_of_its_own, seen to fail without the change.

--- a/src/core/actor/mail.rs
+++ b/src/core/actor/mail.rs
@@ -152,8 +152,10 @@
             self.subchannels.remove(&replica);
             return;
         }
-        if self.subchannels.get(&replica).is_none_or(|s| s.address != host.address) {
-            let (address, started) = (host.address.clone(), host.entry.started);
+        let (address, started) = (host.address.clone(), host.entry.started);
+        // guards against requests written to idle connections of the process before, where it went without a word
+        let same = |s: &Subchannel| s.address == address && s.started == started;
+        if !self.subchannels.get(&replica).is_some_and(same) {
             // guards against sends meant for a host that has gone unnoticed, and met by the new one in its place
             self.subchannels.retain(|_, s| s.address != address || s.started > started);
             let orders = self.connector.open(replica, host);
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -28,6 +28,27 @@
     assert!(handle.maintain(ReplicaId(2), "s-2", true, true).await.unwrap().is_some());
 }
 
+/// A server that is back at its address with a new start: idle connections of the process before are not used for it. The
+/// same entry told again changes nothing.
+#[rstest]
+#[case::restarted(7, true)]
+#[case::told_again(0, false)]
+#[tokio::test]
+async fn a_restarted_server_has_a_subchannel_of_its_own(#[case] started: u64, #[case] anew: bool) {
+    let opened = Opened::default();
+    let (resolver, _asked) = mpsc::channel(4);
+    let (_handle, mail) = Core::start(parts(Scripted(opened.clone()), resolver));
+    for (kind, started) in [(ListKind::Complete, 0), (ListKind::Partial, started)] {
+        let hosts = vec![host(1, "127.0.0.1:1", started)];
+        mail.send(Mail::Resolved(Resolved { kind, hosts })).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut opened = std::mem::take(&mut *opened.lock().unwrap());
+    assert_eq!(opened.len(), if anew { 2 } else { 1 });
+    let over = timeout(Duration::from_millis(100), opened[0].1.recv()).await;
+    assert_eq!(over.is_ok_and(|order| order.is_none()), anew);
+}
+
 /// A host that went unnoticed, and a new one in its place: what is meant for the old one must not meet the new one,
 /// which has just started. An old entry that is told again doesn't turn the new one out.
 #[rstest]
