--- a/tests/ending.rs
+++ b/tests/ending.rs
@@ -114,3 +114,24 @@
     got.body.retain(|c| c == '~');
     assert_eq!((got.whole, got.body.len()), (whole, 2_000_000));
 }
+
+/// A server that hangs as the router is told to end: its client is answered by its deadline, and the program ends then. One
+/// that resets is tried again elsewhere.
+#[rstest]
+#[case::hangs(vec![Step::Hang], 503)]
+#[case::resets(vec![Step::Sleep(100), Step::Close], 200)]
+#[tokio::test]
+async fn at_the_end_an_attempt_under_way_comes_to_an_answer(#[case] script: Vec<Step>, #[case] status: u16) {
+    let server = peer(move |n, _, _| if n == 0 { script.clone() } else { answer("again") }).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut client = Client::new(&router.platform).await;
+    client.send(&request("batch-mark", 1500, "")).await;
+    until("the request is there", || server.requests() == 1).await;
+    let start = Instant::now();
+    router.end.send(true).unwrap();
+    let got = timeout(Duration::from_secs(5), client.answer()).await.expect("in time").expect("an answer");
+    assert!(start.elapsed() < Duration::from_millis(1600), "{:?}", start.elapsed());
+    assert_eq!((got.head.status, got.whole), (status, true));
+    drop(client);
+    timeout(Duration::from_secs(5), router.done).await.expect("ends").unwrap();
+}
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -53,3 +53,28 @@
     // and the room is whole again
     assert!(Client::new(&router.platform).await.call(&large(250)).await.whole);
 }
+
+/// Hundreds of clients wait and leave together: from 0.1 s later on no attempt begins for any of them.
+#[tokio::test]
+async fn no_attempt_begins_after_a_crowd_has_left() {
+    // one at a time: all but the first wait for theirs, also after it is done
+    let server = peer(|_, _, _| [vec![Step::Sleep(50)], answer("x")].concat()).await;
+    let mut one = config(&[("s-a", &server.address, "SERVING")], None);
+    one.sockets = 900;
+    let router = route(one).await;
+    let mut crowd = Vec::new();
+    for _ in 0..300 {
+        let mut client = Client::new(&router.platform).await;
+        client.send(&request("batch-mark", 10_000, "")).await;
+        crowd.push(client);
+    }
+    until("some are at the server", || server.requests() > 0).await;
+    drop(crowd);
+    sleep(Duration::from_millis(100)).await;
+    let begun = server.requests();
+    assert!(begun < 300, "all were served: nobody waited");
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(server.requests(), begun);
+    // and a client that stays is served
+    assert_eq!(ask(&router.platform, "batch-mark", 5000).await.head.status, 200);
+}
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -135,6 +135,34 @@
     assert_eq!(status, Some(0), "{rest}");
 }
 
+/// The signal to end a second time, SIGHUP beside it, and the signal to a process that is not ready: each ends as one does.
+#[tokio::test]
+async fn sigterm_twice_beside_sighup_and_before_it_is_ready_ends_with_0() {
+    let slow = [vec![Step::Sleep(300)], answer("x")].concat();
+    let server = peer(move |_, _, _| slow.clone()).await;
+    let discovery = peer(|_, _, _| vec![Step::Hang]).await;
+    let hosts = [("s-a", server.address.as_str(), "SERVING")];
+    let file = Scratch::new("twice", &config_text(&hosts, Some(&discovery.address)));
+    let (child, address, log) = serve(&file).await;
+    let mut busy = Client::new(&address).await;
+    busy.send(&request("hint", 1000, "")).await;
+    until("the request is there", || server.requests() == 1).await;
+    for name in ["HUP", "TERM", "HUP"] {
+        signal(name, &child);
+    }
+    let ended = tokio::spawn(end(child, log));
+    assert!(busy.answer().await.unwrap().whole);
+    let (status, rest) = ended.await.unwrap();
+    assert_eq!(status, Some(0), "{rest}");
+    // no list and no discovery: it can't become ready
+    let mut bare: serde_json::Value = serde_json::from_str(&config_text(&[], Some("127.0.0.1:1"))).unwrap();
+    bare.as_object_mut().unwrap().remove("known");
+    let file = Scratch::new("unready", &bare.to_string());
+    let (child, _, log) = serve(&file).await;
+    let (status, rest) = end(child, log).await;
+    assert_eq!(status, Some(0), "{rest}");
+}
+
 /// SIGHUP under load: a bad file changes nothing, a good one moves the watch to the new address, for the whole list,
 /// though a call is under way at the old one. What is in flight goes on.
 #[tokio::test]
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -1,233 +1,28 @@
-//! Long random but legal sequences of events; the rules are asserted on every action. No replica is modelled.
+//! Long random but legal sequences of events; the rules are asserted on every action.
 
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use common::world::*;
 use common::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use rstest::rstest;
 use stilespan::Balancer;
 use stilespan::interface::*;
 
-struct Try {
-    replica: u64,
-    sent: Time,
-    over: Option<Outcome>,
-    streaming: bool,
-}
-
-struct Open {
-    class: usize,
-    valid_until: Time,
-    tries: Vec<Try>,
-    answered: bool,
-}
-
-struct World {
-    set: Settings,
-    rng: StdRng,
-    now: Time,
-    open: BTreeMap<u32, Open>,
-    fleet: BTreeMap<u64, Entry>,
-    barred: BTreeMap<u64, Time>,
-    next: u32,
-}
-
-fn settings(rng: &mut StdRng) -> Settings {
-    let mut classes = Vec::new();
-    for (effect, group) in [
-        (Effect::Safe, Group::All),
-        (Effect::Keyed, Group::All),
-        (Effect::Keyed, Group::Zone),
-        (Effect::Keyed, Group::Cell),
-        (Effect::Unsafe, Group::All),
-    ] {
-        let late_worth = if rng.random_bool(0.3) { 0.5 } else { 0.0 };
-        classes.push(Class { effect, group, late_worth, window: Dur(400_000), ..Class::default() });
-    }
-    Settings {
-        classes,
-        instances: rng.random_range(1..30),
-        quotas: vec![30.0, 5.0],
-        over_share_worth: 0.1,
-        cancel: rng.random_bool(0.5),
-        second_copies: rng.random_bool(0.5),
-        ask: rng.random_bool(0.5),
-        ..common::settings()
-    }
-}
-
-impl World {
-    fn list(&mut self) -> Event {
-        let kind = [ListKind::Partial, ListKind::Complete, ListKind::Error][self.rng.random_range(0..3)];
-        let mut entries = Vec::new();
-        for k in 0..6u64 {
-            if self.rng.random_bool(0.5) {
-                let state = [State::InService, State::InService, State::Terminating, State::Terminated];
-                let state = state[self.rng.random_range(0..4)];
-                let started = if self.rng.random_bool(0.2) { self.now } else { Time(0) };
-                let known =
-                    self.fleet.get(&k).map_or(started, |e| if started.0 > 0 { started } else { e.started });
-                entries.push(Entry {
-                    state,
-                    started: known,
-                    zone: k as u32 % 2,
-                    cell: k as u32 / 2,
-                    ..entry(k)
-                });
-            }
-        }
-        if kind == ListKind::Error {
-            return list(kind, vec![]);
-        }
-        if kind == ListKind::Complete {
-            for k in std::mem::take(&mut self.fleet).into_keys() {
-                self.barred.entry(k).or_insert(self.now);
-            }
-        }
-        for e in &entries {
-            let k = e.replica.0;
-            self.fleet.insert(k, e.clone());
-            match e.state {
-                State::InService => drop(self.barred.remove(&k)),
-                _ => drop(self.barred.entry(k).or_insert(self.now)),
-            }
-        }
-        list(kind, entries)
-    }
-
-    fn ending(&mut self, id: u32, trial: usize, timeout: bool) -> Event {
-        let all = [
-            Outcome::Ok,
-            Outcome::Ok,
-            Outcome::Ok,
-            Outcome::Error,
-            Outcome::Full,
-            Outcome::Reset,
-            Outcome::ConnectFailed,
-        ];
-        let open = self.open.get_mut(&id).unwrap();
-        let outcome = if timeout { Outcome::Timeout } else { all[self.rng.random_range(0..7)] };
-        let streaming = open.tries[trial].streaming;
-        let outcome = if streaming && outcome != Outcome::Ok { Outcome::Reset } else { outcome };
-        open.tries[trial].over = Some(outcome);
-        open.answered |= outcome == Outcome::Ok || streaming;
-        ended(id, trial as u32, outcome, open.answered)
-    }
-
-    fn events(&mut self) -> Vec<Event> {
-        let mut events = Vec::new();
-        if self.rng.random_bool(0.05) {
-            events.push(self.list());
-        }
-        for _ in 0..self.rng.random_range(0..3) {
-            let (id, class) = (self.next, self.rng.random_range(0..5));
-            self.next += 1;
-            let wait = [50_000, 900_000, 5_000_000][self.rng.random_range(0..3)];
-            let valid_until = self.now + Dur(wait);
-            self.open.insert(id, Open { class: class as usize, valid_until, tries: vec![], answered: false });
-            let (tenant, prompt) = (self.rng.random_range(0..3), self.rng.random_range(0..9_000));
-            let session = self.rng.random_bool(0.7).then(|| self.rng.random_range(0..50));
-            let shared = prompt / 2;
-            let prefix = self.rng.random_bool(0.5).then_some(7);
-            let cap = self.rng.random_range(0..400);
-            events.push(Event::Request(Arrival {
-                request: RequestId(id),
-                class,
-                tenant,
-                session,
-                prefix,
-                prompt,
-                shared,
-                cap,
-                valid_until,
-                ..Arrival::default()
-            }));
-        }
-        for id in self.open.keys().copied().collect::<Vec<_>>() {
-            for trial in 0..self.open[&id].tries.len() {
-                let open = self.open.get_mut(&id).unwrap();
-                let (now, t) = (self.now, &mut open.tries[trial]);
-                if t.over.is_some() {
-                    continue;
-                }
-                if !t.streaming && now >= open.valid_until {
-                    events.push(self.ending(id, trial, true));
-                } else if self.rng.random_bool(0.05) {
-                    if !t.streaming && !open.answered && self.rng.random_bool(0.6) {
-                        t.streaming = true;
-                        events.push(first(id, trial as u32, (now - t.sent).0));
-                    } else {
-                        events.push(self.ending(id, trial, false));
-                    }
-                }
-            }
-        }
-        if self.rng.random_bool(0.05) {
-            events.push(ended(self.rng.random_range(0..9_999_999), 3, Outcome::Ok, true));
-        }
-        events
-    }
-
-    fn check(&mut self, action: &Action) {
-        match action {
-            Action::Send { request, replica, .. } => {
-                let grace = self.set.drain_grace;
-                if let Some(&since) = self.barred.get(&replica.0) {
-                    assert!(self.now - since <= grace, "sent to a drained replica");
-                }
-                let open = self.open.get_mut(&request.0).expect("sent what is unknown");
-                assert!(!open.answered, "sent after the final answer");
-                assert!(open.tries.len() < self.set.max_attempts as usize);
-                let flying = open.tries.iter().any(|t| t.over.is_none());
-                assert!(!flying || self.set.second_copies, "two copies");
-                let ran = open.tries.iter().find(|t| t.over.is_none_or(|o| !o.never_ran()));
-                let class = &self.set.classes[open.class];
-                if let (Some(ran), true) = (ran, class.effect != Effect::Safe) {
-                    assert_eq!(class.effect, Effect::Keyed, "an unsafe request again");
-                    assert!(self.now - ran.sent < class.window);
-                    let same = match class.group {
-                        Group::All => true,
-                        Group::Zone => ran.replica % 2 == replica.0 % 2,
-                        Group::Cell => ran.replica == replica.0,
-                    };
-                    assert!(same, "outside the group");
-                }
-                open.tries.push(Try { replica: replica.0, sent: self.now, over: None, streaming: false });
-            }
-            Action::Refuse { request, .. } | Action::Fail { request } => {
-                let open = self.open.get_mut(&request.0).expect("answered what is unknown");
-                assert!(!open.answered, "answered twice");
-                open.answered = true;
-                let clean = open.tries.iter().all(|t| t.over.is_some_and(Outcome::never_ran));
-                let class = &self.set.classes[open.class];
-                let harmless = match class.effect {
-                    Effect::Safe => true,
-                    Effect::Keyed => clean || class.group == Group::All,
-                    Effect::Unsafe => clean,
-                };
-                assert!(harmless || matches!(action, Action::Fail { .. }), "refused what may have run");
-            }
-            Action::Cancel { request, trial } => {
-                assert!(self.set.cancel);
-                assert!((*trial as usize) < self.open[&request.0].tries.len());
-            }
-            Action::Timer { at, .. } => assert!(*at > self.now),
-            Action::Watch => assert!(self.set.ask),
-            Action::Probe { .. } => panic!("probes are not allowed here"),
-        }
-    }
-}
-
-#[test]
-fn the_rules_hold_on_every_action() {
+/// With outcomes once each, and with second ones of either kind after them.
+#[rstest]
+#[case::once(false)]
+#[case::doubled(true)]
+fn the_rules_hold_on_every_action(#[case] doubled: bool) {
     for seed in 0..30 {
         let mut rng = StdRng::seed_from_u64(seed);
-        let set = settings(&mut rng);
+        let set = odd_settings(&mut rng);
         let mut balancer = Balancer::new(set.clone(), seed, START);
         let (open, fleet, barred) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let mut world = World { set, rng, now: START, open, fleet, barred, next: 1 };
+        let mut world = World { set, rng, now: START, open, fleet, barred, next: 1, doubled };
         let mut timers = BTreeSet::new();
         for _ in 0..3_000 {
             let pause = world.rng.random_range(1_000..30_000);
