--- a/tests/common/scripted.rs
+++ b/tests/common/scripted.rs
@@ -1,10 +1,10 @@
 //! A core with a scripted connector.
 
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use stilespan::core::actor::Parts;
-use stilespan::core::{Connector, Host, ListOrder, Order};
+use stilespan::core::{Connector, Facts, Host, ListOrder, Order, Rpc};
 use stilespan::interface::{Entry, ReplicaId, Settings, Time};
 use tokio::sync::mpsc;
 
@@ -38,3 +38,25 @@
         figures: stilespan::ops::figures::Figures::new(&[]).into(),
     }
 }
+
+/// An RPC of the first class, whose client waits for so many milliseconds.
+pub fn rpc(patience: u64) -> Rpc {
+    let facts = Facts {
+        class: 0,
+        tenant: 0,
+        session: None,
+        prefix: None,
+        prompt: 10,
+        shared: 0,
+        cap: 10,
+        hint: Duration::ZERO,
+        received: Instant::now(),
+        patience: Duration::from_millis(patience),
+        repeat: false,
+        resumed: false,
+        live: true,
+        model: 0,
+        spent: 0,
+    };
+    Rpc { facts, payload: Default::default() }
+}
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -8,34 +8,13 @@
 use common::scripted::*;
 use rstest::rstest;
 use stilespan::core::actor::{Core, Parts};
-use stilespan::core::{Answer, Attempt, Ending, Facts, Handle, Mail, Order, Resolved, Rpc};
+use stilespan::core::{Answer, Attempt, Ending, Handle, Mail, Order, Resolved};
 use stilespan::interface::{Class, Dur, Effect, ListKind, Outcome, ReplicaId, Settings, State};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, sleep, timeout};
 
 const SOON: Duration = Duration::from_secs(5);
 
-fn rpc(patience: u64) -> Rpc {
-    let facts = Facts {
-        class: 0,
-        tenant: 0,
-        session: None,
-        prefix: None,
-        prompt: 10,
-        shared: 0,
-        cap: 10,
-        hint: Duration::ZERO,
-        received: Instant::now(),
-        patience: Duration::from_millis(patience),
-        repeat: false,
-        resumed: false,
-        live: true,
-        model: 0,
-        spent: 0,
-    };
-    Rpc { facts, payload: Default::default() }
-}
-
 /// A core with so many hosts, and what their subchannels are ordered.
 struct Running {
     handle: Handle,
--- a/tests/naps.rs
+++ b/tests/naps.rs
@@ -6,32 +6,11 @@
 
 use common::scripted::*;
 use stilespan::core::actor::{Core, Parts};
-use stilespan::core::{Facts, ListOrder, Mail, Order, Resolved, Rpc};
+use stilespan::core::{ListOrder, Mail, Order, Resolved};
 use stilespan::interface::{Class, ListKind, ReplicaId, Settings, State};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, sleep, timeout};
 
-fn rpc() -> Rpc {
-    let facts = Facts {
-        class: 0,
-        tenant: 0,
-        session: None,
-        prefix: None,
-        prompt: 10,
-        shared: 0,
-        cap: 10,
-        hint: Duration::ZERO,
-        received: Instant::now(),
-        patience: Duration::from_secs(5),
-        repeat: false,
-        resumed: false,
-        live: true,
-        model: 0,
-        spent: 0,
-    };
-    Rpc { facts, payload: Default::default() }
-}
-
 /// A core with two hosts, its mail, the list's orders and the hosts' mailboxes.
 async fn running() -> (stilespan::core::Handle, mpsc::Sender<Mail>, mpsc::Receiver<ListOrder>, Opened) {
     let opened = Opened::default();
@@ -68,7 +47,7 @@
     let mut tickets = Vec::new();
     std::thread::sleep(Duration::from_millis(700));
     for _ in 0..8 {
-        tickets.push(handle.submit(rpc()).await.expect("the core runs"));
+        tickets.push(handle.submit(rpc(5000)).await.expect("the core runs"));
     }
     assert_eq!(order(&mut asked).await, Some(ListOrder::Confirm));
     sleep(Duration::from_millis(50)).await;
@@ -88,7 +67,7 @@
     for told in [true, false] {
         let (handle, mail, mut asked, opened) = running().await;
         std::thread::sleep(Duration::from_millis(700));
-        let _ticket = handle.submit(rpc()).await.expect("the core runs");
+        let _ticket = handle.submit(rpc(5000)).await.expect("the core runs");
         assert_eq!(order(&mut asked).await, Some(ListOrder::Confirm));
         if told {
             let failed = Resolved { kind: ListKind::Error, hosts: Vec::new() };
