A connection to a server rests 50 ms before its next use, so no late answer is the next one's

Cause: a second answer that a server writes some milliseconds after the first arrived on a connection that had been handed to the next request at once, and was passed on as that request's answer: complete, and another request's. The look at the socket just before use can't see bytes that come after it.

Ruled out: bytes that come before the request's last byte is written taken as a break. A server on the same machine may have answered by the time at which this process looks.

Change: the pool hands out the connection used last of those that have rested for 50 ms; where none has, a new one is opened.

--- a/src/net/subchannel/mod.rs
+++ b/src/net/subchannel/mod.rs
@@ -33,6 +33,9 @@
 pub const LATE: Duration = Duration::from_millis(100);
 /// Part of the idle time allowed after which a connection is not used again: the server may be closing it.
 const IDLE_PART: f64 = 0.8;
+/// A connection is used again so long after its last answer at the soonest. Guards against a second answer of a server's
+/// that comes some milliseconds after the first, and would be taken for the next request's.
+const SETTLE: Duration = Duration::from_millis(50);
 /// Orders that wait for a subchannel's actor at the most.
 const MAILBOX: usize = 1024;
 /// The kind of an answer that holds a stream of events.
--- a/src/net/subchannel/pool.rs
+++ b/src/net/subchannel/pool.rs
@@ -11,13 +11,14 @@
 use tokio::time::timeout;
 use tracing::debug;
 
-use super::{Connection, IDLE_PART, MAX_REST, REST, Subchannel};
+use super::{Connection, IDLE_PART, MAX_REST, REST, SETTLE, Subchannel};
 use crate::net::budget::IdleMark;
 use crate::net::http::{Body, Buffer, Framing, Head};
-use crate::net::look::{Sight, look};
+use crate::net::socket_state::{SocketState, socket_state};
 
 /// An idle connection, watched by a task of its own until it is wanted.
 pub(super) struct Idle {
+    since: Instant,
     wanted: oneshot::Sender<()>,
     watch: JoinHandle<Option<Connection>>,
 }
@@ -29,6 +30,15 @@
     pub(super) closed: bool,
 }
 
+impl Pool {
+    /// The connection that was used last of those that have settled.
+    fn take_settled(&mut self, now: Instant) -> Option<Idle> {
+        let settled = |idle: &Idle| now.saturating_duration_since(idle.since) >= SETTLE;
+        let at = self.idle.iter().rposition(settled)?;
+        self.idle.remove(at)
+    }
+}
+
 impl Subchannel {
     pub(super) fn pool(&self) -> MutexGuard<'_, Pool> {
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
@@ -53,7 +63,7 @@
     /// A connection of the pool, or a new one.
     pub(super) async fn connect(&self) -> Option<Connection> {
         loop {
-            let Some(idle) = self.pool().idle.pop_back() else { break };
+            let Some(idle) = self.pool().take_settled(Instant::now()) else { break };
             let _ = idle.wanted.send(());
             if let Ok(Some(connection)) = idle.watch.await {
                 return Some(connection);
@@ -80,7 +90,8 @@
         if head.closes() || !connection.buffer.is_empty() {
             return;
         }
-        let until = Instant::now() + self.options.conn_idle.mul_f64(IDLE_PART);
+        let since = Instant::now();
+        let until = since + self.options.conn_idle.mul_f64(IDLE_PART);
         let (wanted, called) = oneshot::channel();
         let mut pool = self.pool();
         if pool.closed {
@@ -88,7 +99,7 @@
         }
         pool.idle.retain(|idle| !idle.watch.is_finished());
         let watch = tokio::spawn(rest(connection, until, called, self.budget.idle()));
-        pool.idle.push_back(Idle { wanted, watch });
+        pool.idle.push_back(Idle { since, wanted, watch });
     }
 }
 
@@ -100,7 +111,7 @@
     mut mark: IdleMark,
 ) -> Option<Connection> {
     // looked up in the system: guards against a request written to a connection that the server closed since the last wait
-    let quiet = |connection: &Connection| look(&connection.stream) == Sight::Quiet;
+    let quiet = |connection: &Connection| socket_state(&connection.stream) == SocketState::Quiet;
     tokio::pin!(wanted);
     loop {
         tokio::select! {
