Bytes of a client are read only for the request that is answered next; none is read and dropped

Root cause: the router took bytes off clients' sockets without being bound to answer them, and knew of clients and of time only what its own tasks had been told. A request that has been read and whose connection then ends without an answer is lost, and its client can't tell. It happened where - close() read for a second after the shutdown and dropped what came (idle close, end, Connection: close); - gone() read up to 32 KiB ahead while an answer was on its way, and the answer ended the connection (end of the process, broken stream); - the listening socket was dropped over connections that the system had accepted. Kin found with it: ids were taken with the head, so a request that never came whole got 409 when it was sent once more; a body's wait for memory went on past the client's time (408 after 2.5 s) and was not taken off the time told to the server, nor was a stall of the process; an attempt began without the client's socket being asked, so news of a close that lay in the system after a stall came too late.

Ruled out: a refusal beside an attempt that has not begun (an attempt's time ends with the request's at the latest, and takes it back); a request whole in the buffer at the signal to end (served before, as now).

Change: ClientSocket peeks, finds where the message under way ends and takes just that; what comes behind stays in the system. A close asks the socket first, reads only what is left of an answered request, waits for the client's close and reads nothing else. At the end the accept queue is emptied. Attempts ask the client's socket before their first byte. Heartbeat tells since when bytes may have lain unread. A request without room is refused within its client's time; its id is taken when it is whole, and free again if no server saw it.

--- a/src/batch/front.rs
+++ b/src/batch/front.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::hash::{BuildHasher, RandomState};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde_json::{Value, json};
@@ -18,7 +18,7 @@
 use crate::edge::service::Serving;
 use crate::edge::{Caller, Edge};
 use crate::net::http::{Body, Framing, Head, HttpError, MAX_BODY, plain};
-use crate::net::listener::{Next, Patience, Peer};
+use crate::net::listener::{Arrived, Next, Patience, Peer, Remainder};
 
 /// What a connection's client owes: on a poor link a head or a message takes its time, and a new connection too.
 /// Where sockets run out those that keep others waiting go first all the same.
@@ -171,10 +171,10 @@
 pub async fn run(front: Arc<Front>, peer: Peer) {
     let mut session = Session { front, peer, id: String::new(), caller: Caller::default() };
     loop {
-        let (head, at) = match session.peer.next().await {
-            Next::Request(head, at) => (head, at),
+        let head = match session.peer.next().await {
+            Next::Request(head) => head,
             Next::Bad(e) => return session.turn_down(&e).await,
-            Next::End => return session.peer.close().await,
+            Next::End => return session.peer.close(Remainder::Nothing).await,
             Next::Gone => return,
         };
         session.id = session.front.store.fresh_id("req_");
@@ -182,7 +182,7 @@
             Ok(framing) => Body::new(framing),
             Err(e) => return session.turn_down(&e).await,
         };
-        let done = session.request(&head, &mut body, at).await;
+        let done = session.request(&head, &mut body).await;
         if body.done() {
             session.peer.arrived();
         }
@@ -197,7 +197,7 @@
         };
         match written {
             Ok(()) if !close => {}
-            Ok(()) => return session.peer.close().await,
+            Ok(()) => return session.peer.close(Remainder::Body(body)).await,
             Err(e) => return debug!("a batch client: {e}"),
         }
     }
@@ -217,7 +217,7 @@
         debug!("a batch client's bytes: {e}");
         if let Some((status, _)) = e.status() {
             let _ = self.error(&Head::default(), ApiError::new(status, None, e.to_string()), true).await;
-            self.peer.close().await;
+            self.peer.close(Remainder::Noise).await;
         }
     }
 
@@ -245,7 +245,7 @@
         self.peer.write(text.as_bytes()).await
     }
 
-    async fn request(&mut self, head: &Head, body: &mut Body, at: Instant) -> Result<Then, Wrong> {
+    async fn request(&mut self, head: &Head, body: &mut Body) -> Result<Then, Wrong> {
         let path: Vec<&str> = head.path().trim_matches('/').split('/').collect();
         let Some(("v1", rest)) = path.split_first().map(|(first, rest)| (*first, rest)) else {
             if head.path() == "/_health" {
@@ -259,7 +259,7 @@
             Some(edge) => edge.identify(head.get("authorization"))?,
             None => Caller::default(),
         };
-        if let Some(then) = self.live(head, body, rest, at).await? {
+        if let Some(then) = self.live(head, body, rest).await? {
             return Ok(then);
         }
         let caller = self.caller.clone();
@@ -319,10 +319,15 @@
 
     /// A body of the size of a message.
     pub(super) async fn small(&mut self, head: &Head, body: &mut Body) -> Result<Bytes, Wrong> {
+        Ok(self.message(head, body).await?.body)
+    }
+
+    /// The same, with when it came.
+    pub(super) async fn message(&mut self, head: &Head, body: &mut Body) -> Result<Arrived, Wrong> {
         self.peer.go_on(head).await?;
-        let (bytes, _room) = self.peer.whole(body, MAX_BODY, &self.front.room).await?;
+        let arrived = self.peer.whole(body, MAX_BODY, &self.front.room, None).await?;
         self.peer.arrived();
-        Ok(bytes)
+        Ok(arrived)
     }
 
     /// `POST /v1/files`: a form with `purpose` and `file`; the file streams to the spool.
--- a/src/batch/jobs.rs
+++ b/src/batch/jobs.rs
@@ -525,6 +525,7 @@
                 received: start,
                 trace: trace_held,
                 live: false,
+                client: None,
             };
             let Declined { error, attempts, budget, retry_in, .. } = match live.edge.start(work).await {
                 Ok(mut serving) => {
--- a/src/batch/line.rs
+++ b/src/batch/line.rs
@@ -139,7 +139,7 @@
             model: 0,
             spent: 0,
         };
-        Rpc { facts, payload: self.payload.clone() }
+        Rpc { facts, payload: self.payload.clone(), client: None }
     }
 }
 
--- a/src/batch/live.rs
+++ b/src/batch/live.rs
@@ -2,7 +2,7 @@
 //! [`edge`](crate::edge).
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
 use serde_json::Value;
@@ -33,7 +33,6 @@
         head: &Head,
         body: &mut Body,
         path: &[&str],
-        at: Instant,
     ) -> Result<Option<Then>, Wrong> {
         let Some(live) = self.front.live.clone() else { return Ok(None) };
         let edge = &live.edge;
@@ -45,7 +44,7 @@
                 edge.model(&self.caller, &name)?
             }
             ("GET", ["budgets"]) => edge.budgets(&self.caller),
-            ("POST", ["chat", "completions"]) => return self.chat(&live, head, body, at).await.map(Some),
+            ("POST", ["chat", "completions"]) => return self.chat(&live, head, body).await.map(Some),
             (_, ["models" | "budgets", ..] | ["chat", "completions"]) => {
                 return Err(ApiError::new(405, None, "no such method on this path").into());
             }
@@ -54,10 +53,11 @@
         Ok(Some(Then::Reply(Reply::json(reply))))
     }
 
-    async fn chat(&mut self, live: &Live, head: &Head, body: &mut Body, at: Instant) -> Result<Then, Wrong> {
-        let text = self.small(head, body).await?;
-        let mut chat = Chat::read(&text)?;
-        drop(text);
+    async fn chat(&mut self, live: &Live, head: &Head, body: &mut Body) -> Result<Then, Wrong> {
+        let arrived = self.message(head, body).await?;
+        let mut chat = Chat::read(&arrived.body)?;
+        let received = arrived.at;
+        drop(arrived);
         let id = match head.get("x-trace-id") {
             Some(id) if is_trace(id) => id.to_string(),
             Some(_) => return Err(ApiError::new(400, "X-Trace-Id", "X-Trace-Id is no plain id").into()),
@@ -81,9 +81,10 @@
             chat,
             class: head.get("x-qos").map(String::from),
             patience,
-            received: at,
+            received,
             trace,
             live: true,
+            client: Some(self.peer.presence()),
         };
         let started = tokio::select! {
             biased;
--- a/src/core/actor/actions.rs
+++ b/src/core/actor/actions.rs
@@ -108,7 +108,7 @@
         let (hold, called_off) = oneshot::channel();
         let expires = Time(open.expires.0.saturating_sub(GUARD.0));
         let until = give_up.map_or(expires, |d| (now + d).min(expires));
-        let start = Arc::new(Start::new(open.begins_by(at, self.begin_within)));
+        let start = Arc::new(Start::new(open.begins_by(at, self.begin_within), open.client.clone()));
         let out = Out { trial, replica, since: at, until: Some(until), start: start.clone(), _hold: hold };
         // guards against a second copy, an attempt too many and one that nobody waits for
         let moot = open.out.is_some() || open.answer.is_none() || spent >= self.max_attempts || until <= now;
--- a/src/core/actor/mail.rs
+++ b/src/core/actor/mail.rs
@@ -88,6 +88,7 @@
         let open = Open {
             answer: Some(answer),
             payload: rpc.payload,
+            client: rpc.client,
             expires,
             received: rpc.facts.received,
             trials: 0,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! a subchannel speaks, where its host came from and what an RPC holds is no concern of this folder.
 
 pub mod actor;
+mod client;
 mod clock;
 mod handle;
 mod load;
@@ -21,10 +22,11 @@
 use crate::interface::{Entry, ListKind, Outcome, ReplicaId, Report, RequestId};
 use crate::ops::bans::Ban;
 
+pub use client::Client;
 pub use clock::Clock;
 pub use handle::{Closed, Handle, Ticket};
 pub use load::Load;
-pub use start::Start;
+pub use start::{Begin, Start};
 
 /// Pieces of an answer that wait for a slow client at the most; the subchannel's connection then waits too.
 pub const PIECES: usize = 16;
@@ -82,6 +84,8 @@
     pub facts: Facts,
     /// What is sent.
     pub payload: Payload,
+    /// Who waits for it; none where nobody can leave.
+    pub client: Option<Arc<dyn Client>>,
 }
 
 /// The one final answer of an RPC.
--- a/src/core/start/tests.rs
+++ b/src/core/start/tests.rs
@@ -1,8 +1,11 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
 
-use super::Start;
+use super::{Begin, Start};
+use crate::core::Client;
 
 proptest! {
     /// Whatever comes in whatever order: it begins at most once, in time, and never beside being taken back.
@@ -13,10 +16,10 @@
     ) {
         let zero = Instant::now();
         let at = |ms| zero + Duration::from_millis(ms);
-        let (start, mut begun, mut taken) = (Start::new(at(by)), 0, 0);
+        let (start, mut begun, mut taken) = (Start::new(at(by), None), 0, 0);
         for (begins, ms) in steps {
             if begins {
-                let begins = start.begin(at(ms));
+                let begins = start.begin(at(ms)) == Begin::Now;
                 prop_assert!(!begins || ms <= by);
                 begun += u32::from(begins);
             } else {
@@ -26,3 +29,25 @@
         }
     }
 }
+
+/// A client that leaves when it is told to.
+#[derive(Debug, Default)]
+struct Leaver(AtomicBool);
+
+impl Client for Leaver {
+    fn has_left(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+#[test]
+fn no_attempt_begins_for_a_client_that_has_left() {
+    let (now, client) = (Instant::now(), Arc::new(Leaver::default()));
+    let start = || Start::new(now, Some(client.clone()));
+    let (before, after) = (start(), start());
+    assert_eq!(before.begin(now), Begin::Now);
+    client.0.store(true, Ordering::Relaxed);
+    assert_eq!(after.begin(now), Begin::ClientLeft);
+    // and the core may still take it back: it never ran
+    assert!(after.take_back());
+}
--- a/src/core/table.rs
+++ b/src/core/table.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::oneshot;
 
-use super::{Answer, Payload, Start};
+use super::{Answer, Client, Payload, Start};
 use crate::interface::{ReplicaId, Time};
 
 /// The call attempt that is out.
@@ -32,6 +32,8 @@
     pub answer: Option<oneshot::Sender<Answer>>,
     /// What is sent for it.
     pub payload: Payload,
+    /// Who waits for it; none where nobody can leave.
+    pub client: Option<Arc<dyn Client>>,
     /// When its client stops waiting.
     pub expires: Time,
     /// When it had come in whole.
--- a/src/edge/service.rs
+++ b/src/edge/service.rs
@@ -13,7 +13,7 @@
 use super::meter::{Event, Meter, Usage};
 use super::{Caller, Edge, exhausted, no_model};
 use crate::api::ApiError;
-use crate::core::{Answer, Facts, Piece, Rpc, Ticket};
+use crate::core::{Answer, Client, Facts, Piece, Rpc, Ticket};
 use crate::interface::Dur;
 use crate::net::subchannel::payload;
 use crate::routing::{Ask, Catalog, Ended, GaveUp, Leg, NotAsked, Route, Step};
@@ -39,6 +39,8 @@
     pub trace: Trace,
     /// Somebody waits for it now.
     pub live: bool,
+    /// Who; none where nobody can leave.
+    pub client: Option<Arc<dyn Client>>,
 }
 
 /// The one final answer of an RPC that is not served.
@@ -168,10 +170,11 @@
     }
 
     async fn legs(self: &Arc<Edge>, work: Work, span: &Span) -> Result<Serving, Declined> {
-        let Work { caller, chat, class, patience, received, trace, live } = work;
+        let Work { caller, chat, class, patience, received, trace, live, client } = work;
         let (mut route, mut account, facts, slice) =
             self.plan(&caller, &chat, class, patience, received, live)?;
         let mut submitted = false;
+        let mut sent = false;
         loop {
             let step = {
                 let state = &*self.state();
@@ -182,6 +185,9 @@
                 Step::End(gave) => {
                     span.record("attempts", gave.attempts);
                     debug!(refused = gave.refused, no_host = gave.no_host, "not served");
+                    if !sent {
+                        trace.release();
+                    }
                     return Err(gave_up(&gave));
                 }
             };
@@ -194,6 +200,7 @@
                     route.passed();
                     continue;
                 }
+                trace.release();
                 let retry_in = refusal.retry_in.map(|d| Duration::from_micros(d.0));
                 debug!(node = refusal.node, budget = refusal.budget, "no budget");
                 let error = exhausted(&refusal, self.now());
@@ -201,6 +208,7 @@
             }
             submitted = true;
             let rpc = self.rpc(&facts, &chat, &model.name, model.number, &leg, trace.id());
+            let rpc = Rpc { client: client.clone(), ..rpc };
             debug!(model = model.name, spent = leg.spent, cap = leg.cap, "leg");
             let Ok(mut ticket) = self.core.submit(rpc).await else {
                 return Err(ApiError::new(503, None, "the router is ending").into());
@@ -234,6 +242,7 @@
                 Answer::Failed { sent, attempts } => Ended { attempts, sent, retry_in: None, refused: false },
             };
             ticket.finish();
+            sent |= ended.sent;
             route.ended(ended, &mut self.state().needs, self.now());
         }
     }
@@ -314,7 +323,8 @@
         let patience = self.clock.instant(leg.until).saturating_duration_since(facts.received);
         let facts = Facts { cap: leg.cap, patience, model: number, spent: leg.spent, ..facts.clone() };
         let body = chat.body_for(name, leg.cap).into();
-        Rpc { facts, payload: payload("POST", "/v1/chat/completions", Some(trace), None, body) }
+        let payload = payload("POST", "/v1/chat/completions", Some(trace), None, body);
+        Rpc { facts, payload, client: None }
     }
 }
 
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -92,6 +92,7 @@
                 HttpError::HeadTooLarge => Reply::no("431 Request Header Fields Too Large", e.to_string()),
                 HttpError::BodyTooLarge => Reply::no("413 Content Too Large", e.to_string()),
                 HttpError::Late => Reply::no("408 Request Timeout", e.to_string()),
+                HttpError::NoRoom => Reply::no("503 Service Unavailable", e.to_string()),
             }
         }
     };
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -67,6 +67,19 @@
         self.closing = true;
     }
 
+    /// The connection was asked to close and does not, as a request has come on it meanwhile: another is asked.
+    pub fn stays(&mut self) {
+        let mut idle = lock(&self.idle);
+        self.closing = false;
+        if !idle.bells.contains_key(&self.key) {
+            idle.asked -= 1;
+            idle.next += 1;
+            self.key = (true, idle.next);
+            idle.bells.insert(self.key, self.bell.clone());
+            idle.ring();
+        }
+    }
+
     /// Something arrives on the connection: it goes behind those that are silent, and last in the line. Guards
     /// against a slow request that makes room for clients that say nothing.
     pub fn arrives(&mut self) {
--- a/src/net/channel/mod.rs
+++ b/src/net/channel/mod.rs
@@ -5,14 +5,14 @@
 mod reply;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::de::IgnoredAny;
 use tokio::sync::Semaphore;
 use tracing::debug;
 
 use super::http::{Body, Framing, Head, HttpError, MAX_BODY, plain};
-use super::listener::{Next, Patience, Peer};
+use super::listener::{Arrived, Next, Patience, Peer, Remainder};
 use super::subchannel::payload;
 use crate::core::{Answer, Handle, Rpc};
 use crate::traces::Traces;
@@ -55,7 +55,7 @@
     /// It is answered, as far as it can be, and the channel ends.
     End,
     /// It was no request: this is its answer, and the channel ends.
-    Bad(Reply),
+    Bad(Reply, Remainder),
 }
 
 /// Serves one client's connection to its end.
@@ -63,26 +63,27 @@
     let mut channel = Channel { front, peer };
     let bad = loop {
         let done = match channel.peer.next().await {
-            Next::Request(head, _) => channel.answer(&head).await,
+            Next::Request(head) => channel.answer(&head).await,
             Next::Bad(e) => Err(e),
-            Next::End => return channel.peer.close().await,
+            Next::End => return channel.peer.close(Remainder::Nothing).await,
             Next::Gone => return,
         };
         match done {
             Ok(Done::Keep) => {}
-            Ok(Done::End) => return channel.peer.close().await,
+            Ok(Done::End) => return channel.peer.close(Remainder::Nothing).await,
             Ok(Done::Gone) => return,
-            Ok(Done::Bad(reply)) => break reply,
+            Ok(Done::Bad(reply, remainder)) => break (reply, remainder),
             Err(e) => {
                 // a peer's bytes could not be taken: say so, and close
                 debug!("a client's bytes: {e}");
                 let Some((status, reason)) = e.status() else { return };
-                break Reply::new(status, reason, reason);
+                break (Reply::new(status, reason, reason), Remainder::Noise);
             }
         }
     };
-    if channel.reply(&bad, true).await.is_ok() {
-        channel.peer.close().await;
+    let (reply, remainder) = bad;
+    if channel.reply(&reply, true).await.is_ok() {
+        channel.peer.close(remainder).await;
     }
 }
 
@@ -92,14 +93,15 @@
     async fn answer(&mut self, head: &Head) -> Result<Done, HttpError> {
         let framing = head.framing(false)?;
         let most = MAX_BODY as u64;
+        let mut body = Body::new(framing);
+        let bad = |reply, body| Ok(Done::Bad(reply, Remainder::Body(body)));
         if matches!(framing, Framing::Length(n) if n > most) {
-            return Err(HttpError::BodyTooLarge);
+            return bad(Reply::too_large(), body);
         }
         let close = head.closes();
-        let mut body = Body::new(framing);
         let bodies = self.front.bodies.clone();
         if head.path() == "/_health" {
-            self.peer.whole(&mut body, MAX_BODY, &bodies).await?;
+            self.peer.whole(&mut body, MAX_BODY, &bodies, None).await?;
             self.peer.arrived();
             // the platform's front sends clients from the first 200 on
             let ready = self.front.core.load().ready() && !self.peer.leaving();
@@ -110,28 +112,38 @@
             return self.reply(&reply, close).await;
         }
         if head.method != "POST" {
-            return Ok(Done::Bad(Reply::new(404, "Not Found", "no such thing")));
+            return bad(Reply::new(404, "Not Found", "no such thing"), body);
         }
         let (mut facts, id) = match self.facts(head) {
             Ok(read) => read,
-            Err(reply) => return Ok(Done::Bad(reply)),
-        };
-        let Some(_trace) = self.front.traces.take(id) else {
-            return Ok(Done::Bad(Reply::new(409, "Conflict", "X-Trace-Id is in use")));
+            Err(reply) => return bad(reply, body),
         };
         let key = head.get("idempotency-key").filter(|key| plain(key));
         self.peer.go_on(head).await?;
-        let (body, _room) = self.peer.whole(&mut body, MAX_BODY, &bodies).await?;
+        let arrived = self.peer.whole(&mut body, MAX_BODY, &bodies, Some(facts.patience)).await;
+        let Arrived { body: bytes, room: _room, at } = match arrived {
+            Err(HttpError::NoRoom) => return bad(Reply::refused("no room for the body"), body),
+            Err(HttpError::BodyTooLarge) => return bad(Reply::too_large(), body),
+            arrived => arrived?,
+        };
         // guards against a length that cuts a body short, which a model server would take for a request
-        if body.trim_ascii_start().first() != Some(&b'{')
-            || serde_json::from_slice::<IgnoredAny>(&body).is_err()
+        if bytes.trim_ascii_start().first() != Some(&b'{')
+            || serde_json::from_slice::<IgnoredAny>(&bytes).is_err()
         {
-            return Ok(Done::Bad(Reply::new(400, "Bad Request", "the body is no JSON object")));
+            return bad(Reply::new(400, "Bad Request", "the body is no JSON object"), body);
         }
+        // taken only now that the request is here whole: one that never came whole is sent once more under its id
+        let Some(trace) = self.front.traces.take(id) else {
+            return bad(Reply::new(409, "Conflict", "X-Trace-Id is in use"), body);
+        };
         self.peer.arrived();
         // a request's time runs from its last byte, however slowly it came
-        facts.received = Instant::now();
-        let rpc = Rpc { facts, payload: payload(&head.method, &head.target, Some(id), key, body) };
+        facts.received = at;
+        let payload = payload(&head.method, &head.target, Some(id), key, bytes);
+        let rpc = Rpc { facts, payload, client: Some(self.peer.presence()) };
+        if self.peer.has_gone() {
+            return Ok(Done::Gone);
+        }
         let Ok(mut ticket) = self.front.core.submit(rpc).await else {
             return self.reply(&Reply::new(503, "Service Unavailable", "the router is ending"), true).await;
         };
@@ -153,9 +165,12 @@
                 }
                 Passed::Gone => Ok(Done::Gone),
             },
-            Answer::Refused { retry_in, .. } => {
+            Answer::Refused { retry_in, sent, .. } => {
                 ticket.finish();
-                let refused = Reply::new(503, "Service Unavailable", "refused; trying again is harmless");
+                if !sent {
+                    trace.release();
+                }
+                let refused = Reply::refused("refused; trying again is harmless");
                 self.reply(&Reply { retry_in, ..refused }, close).await
             }
             Answer::Failed { .. } => {
--- a/src/net/channel/reply.rs
+++ b/src/net/channel/reply.rs
@@ -22,6 +22,16 @@
     pub(super) fn new(status: u16, reason: &'static str, text: &'static str) -> Reply {
         Reply { status, reason, retry_in: None, text }
     }
+
+    /// Declined; a repeat is harmless.
+    pub(super) fn refused(text: &'static str) -> Reply {
+        Reply::new(503, "Service Unavailable", text)
+    }
+
+    /// The body is over its limit.
+    pub(super) fn too_large() -> Reply {
+        Reply::new(413, "Content Too Large", "Content Too Large")
+    }
 }
 
 /// What passing an answer on came to.
--- a/src/net/http/body.rs
+++ b/src/net/http/body.rs
@@ -117,6 +117,20 @@
         }
     }
 
+    /// How many of the bytes that follow those in the buffer belong to it. Bytes that can't be read as a body have no end, so
+    /// all of them do.
+    pub fn span(&self, buffer: &Buffer, next: &[u8]) -> usize {
+        if let At::Left(n) = self.at {
+            let left = n.saturating_sub(buffer.bytes().len() as u64);
+            return next.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+        }
+        let mut body = *self;
+        let mut both = buffer.followed_by(next);
+        while let Ok(Some(_)) = body.take(&mut both) {}
+        let behind = if body.done() { both.bytes().len() } else { 0 };
+        next.len().saturating_sub(behind)
+    }
+
     /// The next bytes of it, read as needed; none at its end. Cancel safe.
     pub async fn next(
         &mut self,
--- a/src/net/http/head.rs
+++ b/src/net/http/head.rs
@@ -118,6 +118,16 @@
     }
 }
 
+/// How many of the bytes that follow those in the buffer belong to the head under way. Bytes that can't be read as a head
+/// have no end, so all of them do.
+pub fn request_head_span(buffer: &Buffer, next: &[u8]) -> usize {
+    let mut both = buffer.followed_by(next);
+    match request_head(&mut both) {
+        Ok(Some(_)) => next.len().saturating_sub(both.bytes().len()),
+        Ok(None) | Err(_) => next.len(),
+    }
+}
+
 /// Takes an answer's head off the buffer, once it is whole; interim answers (1xx) are passed over and counted.
 /// A header's value that is no UTF-8 is read as far as it goes: guards against a good stream that is given up
 /// for a load report that nobody can read.
--- a/src/net/http/mod.rs
+++ b/src/net/http/mod.rs
@@ -12,7 +12,7 @@
 
 pub use body::Body;
 pub use events::FirstEvent;
-pub use head::{Framing, Head, read_answer_head, request_head};
+pub use head::{Framing, Head, read_answer_head, request_head, request_head_span};
 
 /// A body holds so much at most.
 pub const MAX_BODY: usize = 256 << 10;
@@ -48,6 +48,8 @@
     BodyTooLarge,
     /// A message that had begun was not whole in time.
     Late,
+    /// There was no room in memory for the body while its client waited.
+    NoRoom,
 }
 
 impl std::fmt::Display for HttpError {
@@ -59,6 +61,7 @@
             HttpError::HeadTooLarge => write!(out, "the head is over {MAX_HEAD} bytes"),
             HttpError::BodyTooLarge => out.write_str("the body is too large"),
             HttpError::Late => out.write_str("the message was not whole in time"),
+            HttpError::NoRoom => out.write_str("there was no room for the body"),
         }
     }
 }
@@ -80,6 +83,7 @@
             HttpError::HeadTooLarge => Some((431, "Request Header Fields Too Large")),
             HttpError::BodyTooLarge => Some((413, "Content Too Large")),
             HttpError::Late => Some((408, "Request Timeout")),
+            HttpError::NoRoom => Some((503, "Service Unavailable")),
         }
     }
 }
@@ -110,6 +114,19 @@
         }
     }
 
+    /// Adds bytes at the end.
+    pub fn append(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// A copy of what is in it, with more bytes behind.
+    fn followed_by(&self, next: &[u8]) -> Buffer {
+        let mut bytes = BytesMut::with_capacity(self.bytes.len() + next.len());
+        bytes.extend_from_slice(&self.bytes);
+        bytes.extend_from_slice(next);
+        Buffer { bytes }
+    }
+
     /// Copies `n` bytes off the front, so that the buffer stays the only owner of its room.
     pub fn copy_out(&mut self, n: usize) -> Bytes {
         let n = n.min(self.bytes.len());
--- a/src/net/listener/mod.rs
+++ b/src/net/listener/mod.rs
@@ -1,19 +1,31 @@
 //! What every listening front needs: connections taken within the budget until the program's end, and a peer's
 //! side of one of them.
 
+mod body;
+mod client_socket;
+mod closing;
+mod heartbeat;
 mod peer;
 
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
 use tracing::{info, warn};
 
-use super::budget::Budget;
+use super::budget::{Budget, Permit};
 use super::http::Buffer;
 use crate::upkeep::Drained;
 
+use client_socket::ClientSocket;
+
+pub use body::Arrived;
+pub use closing::Remainder;
+pub use heartbeat::Heartbeat;
 pub use peer::{Next, Peer};
 
 /// How long a front waits for what its clients owe it.
@@ -37,8 +49,10 @@
 const EMPTY: Duration = Duration::from_millis(500);
 /// A drained router gives up requests that are not here whole by then, so that none is young when it must be empty.
 const EMPTY_CALL: Duration = Duration::from_millis(1800);
-/// What a client goes on writing after its last answer is read for so long.
+/// A connection that was shut down waits for its client's close for so long.
 const DRAIN: Duration = Duration::from_secs(1);
+/// It waits for so long more where unread bytes would reset it, so that its last answer arrives first.
+const LINGER_UNREAD: Duration = Duration::from_secs(4);
 /// How often a client that has written far ahead is looked at for its end. Well within 0.1 s: an attempt that begins
 /// so long after its client has gone is a break.
 const LOOK: Duration = Duration::from_millis(20);
@@ -56,6 +70,8 @@
     pub succeeded: watch::Receiver<bool>,
     /// Since when the router is drained.
     pub drained: watch::Receiver<Drained>,
+    /// Tells when the process did not run.
+    pub heartbeat: Arc<Heartbeat>,
 }
 
 impl Shared {
@@ -66,6 +82,15 @@
         tokio::time::sleep_until((since + long).into()).await;
     }
 
+    /// Waits for the signal to end, and for ever where no other process takes the connections then.
+    async fn handed_over(&mut self) {
+        turned(&mut self.ending).await;
+        self.since.get_or_init(Instant::now);
+        if !*self.succeeded.borrow() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Whether so long has passed since the signal to end.
     fn ended(&self, long: Duration) -> bool {
         *self.ending.borrow() && self.since.get_or_init(Instant::now).elapsed() >= long
@@ -96,61 +121,90 @@
     F: Fn(Peer) -> Fut,
     Fut: Future<Output = ()> + Send + 'static,
 {
-    let mut ending = shared.ending.clone();
-    // dropped by every connection at its end
-    let (alive, mut none_alive) = mpsc::channel::<()>(1);
-    let mut last: Option<Instant> = None;
+    let beats = tokio::spawn(beat(shared.heartbeat.clone()));
+    let mut connections = JoinSet::new();
+    let open = |stream: TcpStream, permit: Permit| {
+        let _ = stream.set_nodelay(true);
+        handle(Peer {
+            socket: ClientSocket::new(stream),
+            buffer: Buffer::default(),
+            shared: shared.clone(),
+            patience,
+            opened: Some(Instant::now()),
+            arriving: None,
+            unseen_since: None,
+            _permit: permit,
+        })
+    };
+    while let Some((stream, permit)) = accept(&shared, &listener).await {
+        connections.spawn(open(stream, permit));
+        while connections.try_join_next().is_some() {}
+    }
+    if !*shared.succeeded.borrow() {
+        while let Some((stream, permit)) = accept_queued(&shared, &listener).await {
+            connections.spawn(open(stream, permit));
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+    beats.abort();
+}
+
+/// The heartbeat of the process, for as long as it serves.
+async fn beat(heartbeat: Arc<Heartbeat>) {
+    let mut interval = tokio::time::interval(heartbeat::INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let until = last.unwrap_or_else(|| Instant::now() + Duration::from_secs(3600));
-        tokio::select! {
+        interval.tick().await;
+        heartbeat.beat(Instant::now());
+    }
+}
+
+/// The next connection and its right to a socket; none once the program has ended for `LINGER`, or another process takes the
+/// connections.
+async fn accept(shared: &Shared, listener: &TcpListener) -> Option<(TcpStream, Permit)> {
+    let (mut ending, mut over) = (shared.clone(), shared.clone());
+    loop {
+        let accepted = tokio::select! {
             biased;
-            () = turned(&mut ending), if last.is_none() => {
-                let since = *shared.since.get_or_init(Instant::now);
-                if *shared.succeeded.borrow() {
-                    info!("ending: another process takes the connections");
-                    break;
-                }
-                info!("ending: taking connections for a little longer");
-                last = Some(since + LINGER);
+            () = ending.handed_over() => {
+                info!("ending: another process takes the connections");
+                return None;
             }
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    let _ = stream.set_nodelay(true);
-                    let opened = Some(Instant::now());
-                    // taken only now: guards against a connection that is closed to make room for nobody
-                    let mut late = shared.clone();
-                    let permit = tokio::select! {
-                        permit = shared.budget.take() => permit,
-                        () = late.after_end(LINGER) => None,
-                    };
-                    let Some(permit) = permit else { break };
-                    let peer = Peer {
-                        stream,
-                        buffer: Buffer::default(),
-                        shared: shared.clone(),
-                        patience,
-                        opened,
-                        arriving: None,
-                        _permit: permit,
-                    };
-                    let (handled, alive) = (handle(peer), alive.clone());
-                    tokio::spawn(async move {
-                        handled.await;
-                        drop(alive);
-                    });
-                }
-                Err(e) => {
-                    // out of descriptors, or a connection that was gone again: wait a little rather than spin
-                    warn!("accept: {e}");
-                    tokio::time::sleep(Duration::from_millis(5)).await;
-                }
-            },
+            accepted = listener.accept() => accepted,
             // what the platform has sent in the meantime is taken first: this branch comes last
-            () = tokio::time::sleep_until(until.into()), if last.is_some() => break,
+            () = over.after_end(LINGER) => return None,
+        };
+        match accepted {
+            Ok((stream, _)) => return admit(shared, stream).await,
+            Err(e) => {
+                // out of descriptors, or a connection that was gone again: wait a little rather than spin
+                warn!("accept: {e}");
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
         }
     }
-    drop((listener, alive));
-    let _ = none_alive.recv().await;
+}
+
+/// A connection that the system has accepted already, though the runtime may not have been told; none where there is none.
+/// Guards against requests that are reset with the listening socket where this process was held up.
+async fn accept_queued(shared: &Shared, listener: &TcpListener) -> Option<(TcpStream, Permit)> {
+    let (socket, _) = SockRef::from(listener).accept().ok()?;
+    socket.set_nonblocking(true).ok()?;
+    let stream = TcpStream::from_std(socket.into()).ok()?;
+    admit(shared, stream).await
+}
+
+/// The right to a socket for an accepted connection. It is taken only now: guards against a connection that is closed to
+/// make room for nobody. None where there is none by the end.
+async fn admit(shared: &Shared, stream: TcpStream) -> Option<(TcpStream, Permit)> {
+    let mut late = shared.clone();
+    let permit = tokio::select! {
+        biased;
+        permit = shared.budget.take() => permit,
+        () = late.after_end(LAST_CALL) => None,
+    };
+    permit.map(|permit| (stream, permit))
 }
 
 /// Shares one front among its connections.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,6 @@
 pub mod http;
 pub mod list;
 pub mod listener;
-mod look;
 pub mod resolver;
+mod socket_state;
 pub mod subchannel;
--- a/src/net/subchannel/attempt.rs
+++ b/src/net/subchannel/attempt.rs
@@ -10,7 +10,7 @@
 use tracing::{debug, trace};
 
 use super::{Connection, EVENTS, SILENCE, Subchannel, TAIL};
-use crate::core::{Attempt, AttemptId, Ending, Mail, PIECES, Payload, Piece, Start};
+use crate::core::{Attempt, AttemptId, Begin, Ending, Mail, PIECES, Payload, Piece, Start};
 use crate::interface::Outcome;
 use crate::net::http::{self, Body, Buffer, FirstEvent, Framing, Head, HttpError};
 
@@ -47,9 +47,17 @@
         let rest = format!("Host: {}\r\nX-Expires-In-Ms: {left}\r\n\r\n", self.address);
         message.extend_from_slice(rest.as_bytes());
         message.extend_from_slice(&payload.body);
-        if !start.begin(Instant::now()) {
-            debug!("{}: an attempt that comes too late is not begun", self.address);
-            return over(Outcome::ConnectFailed);
+        match start.begin(Instant::now()) {
+            Begin::Now => {}
+            Begin::TooLate => {
+                debug!("{}: an attempt that comes too late is not begun", self.address);
+                return over(Outcome::ConnectFailed);
+            }
+            Begin::ClientLeft => {
+                debug!("{}: an attempt whose client has left is not begun", self.address);
+                let _ = self.mail.send(Mail::Gone(id.request)).await;
+                return None;
+            }
         }
         if let Err(e) = connection.stream.write_all(&message).await {
             debug!("{}: broke within a request: {e}", self.address);
--- a/src/router.rs
+++ b/src/router.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::{Arc, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -22,7 +22,7 @@
 use crate::net::channel::{self, Front};
 use crate::net::handover::{Handover, Meeting, Room, Shares};
 use crate::net::http::MAX_BODY;
-use crate::net::listener::{self, Shared};
+use crate::net::listener::{self, Heartbeat, Shared};
 use crate::net::{admin, resolver, subchannel};
 use crate::ops::figures::Figures;
 use crate::ops::kept::Orders;
@@ -173,8 +173,14 @@
     let servers = shares.servers.clone();
     let (drain, drained) = watch::channel(None);
     let (succeed, succeeded) = watch::channel(false);
-    let shared =
-        Shared { budget: shares.clients.clone(), ending, since: Default::default(), succeeded, drained };
+    let shared = Shared {
+        budget: shares.clients.clone(),
+        ending,
+        since: Default::default(),
+        succeeded,
+        drained,
+        heartbeat: Arc::new(Heartbeat::new(Instant::now())),
+    };
     let figures = Arc::new(Figures::new(&config.classes));
     let connector = subchannel::Tcp {
         options: subchannel::Options {
--- a/src/traces.rs
+++ b/src/traces.rs
@@ -22,6 +22,8 @@
 pub struct Trace {
     id: Arc<str>,
     traces: Traces,
+    /// Remembered after its end: a model server may have seen it.
+    remembered: bool,
 }
 
 impl Traces {
@@ -34,7 +36,7 @@
     /// ago is no better.
     pub fn take(&self, id: &str) -> Option<Trace> {
         let id: Arc<str> = id.into();
-        self.known().known.insert(id.clone()).then(|| Trace { id, traces: self.clone() })
+        self.known().known.insert(id.clone()).then(|| Trace { id, traces: self.clone(), remembered: true })
     }
 }
 
@@ -43,11 +45,20 @@
     pub fn id(&self) -> &str {
         &self.id
     }
+
+    /// Frees the id: no model server has seen it, so the same request may come again.
+    pub fn release(mut self) {
+        self.remembered = false;
+    }
 }
 
 impl Drop for Trace {
     fn drop(&mut self) {
         let mut traces = self.traces.known();
+        if !self.remembered {
+            traces.known.remove(&self.id);
+            return;
+        }
         traces.ended.push_back(self.id.clone());
         if traces.ended.len() > ENDED
             && let Some(oldest) = traces.ended.pop_front()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,6 +5,7 @@
 pub mod folder;
 pub mod peers;
 pub mod scripted;
+pub mod small;
 pub mod world;
 
 use stilespan::Balancer;
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -285,6 +285,19 @@
         Some(Got { head, body: String::from_utf8_lossy(&text).into_owned(), whole })
     }
 
+    /// Whether the router ends the connection over bytes that it has not read: the system resets it then. Waits for as
+    /// long as a router keeps such a connection.
+    pub async fn is_reset(&self) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_secs(8) {
+            if self.stream.take_error().unwrap().is_some() {
+                return true;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        false
+    }
+
     pub async fn call(&mut self, text: &[u8]) -> Got {
         self.send(text).await;
         timeout(Duration::from_secs(20), self.answer()).await.expect("an answer in 20 s").expect("an answer")
--- a/tests/common/scripted.rs
+++ b/tests/common/scripted.rs
@@ -58,5 +58,5 @@
         model: 0,
         spent: 0,
     };
-    Rpc { facts, payload: Default::default() }
+    Rpc { facts, payload: Default::default(), client: None }
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -8,7 +8,7 @@
 use common::scripted::*;
 use rstest::rstest;
 use stilespan::core::actor::{Core, Parts};
-use stilespan::core::{Answer, Attempt, Ending, Handle, Mail, Order, Resolved};
+use stilespan::core::{Answer, Attempt, Begin, Ending, Handle, Mail, Order, Resolved};
 use stilespan::interface::{Class, Dur, Effect, ListKind, Outcome, ReplicaId, Settings, State};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, sleep, timeout};
@@ -93,9 +93,9 @@
     core.list(kind, hosts.collect()).await;
     let (other, attempt) = core.attempt().await;
     assert_ne!(other, at);
-    assert!(!waits.start.begin(Instant::now()), "begun at a server that the list has drained");
+    assert_ne!(waits.start.begin(Instant::now()), Begin::Now, "begun at a server that the list has drained");
     assert!(timeout(SOON, &mut waits.called_off).await.expect("called off").is_err());
-    assert!(attempt.start.begin(Instant::now()));
+    assert_eq!(attempt.start.begin(Instant::now()), Begin::Now);
 }
 
 /// What has begun stays where it is: a draining server finishes what it holds.
@@ -104,7 +104,7 @@
     let core = running(2, Class::default()).await;
     let _ticket = core.handle.submit(rpc(5000)).await.unwrap();
     let (at, mut begun) = core.attempt().await;
-    assert!(begun.start.begin(Instant::now()));
+    assert_eq!(begun.start.begin(Instant::now()), Begin::Now);
     let mut drained = host(at.0, &format!("127.0.0.1:{}", at.0), 0);
     drained.entry.state = State::Terminating;
     core.list(ListKind::Partial, vec![drained]).await;
@@ -119,11 +119,11 @@
     let _ticket = core.handle.submit(rpc(5000)).await.unwrap();
     let (_, first) = core.attempt().await;
     let sent = Instant::now();
-    assert!(first.start.begin(sent));
+    assert_eq!(first.start.begin(sent), Begin::Now);
     core.ended(&first, Outcome::Reset).await;
     let (_, repeat) = core.attempt().await;
-    assert!(!repeat.start.begin(sent + Duration::from_millis(401)), "begun after its window");
-    assert!(repeat.start.begin(sent + Duration::from_millis(300)), "not begun in its window");
+    assert_ne!(repeat.start.begin(sent + Duration::from_millis(401)), Begin::Now, "begun after its window");
+    assert_eq!(repeat.start.begin(sent + Duration::from_millis(300)), Begin::Now, "not begun in its window");
 }
 
 /// An attempt whose connection has not come up when its time is over has never run: the client may come again, also
@@ -138,7 +138,7 @@
     let mut ticket = core.handle.submit(rpc(300)).await.unwrap();
     let (_, attempt) = core.attempt().await;
     if begins {
-        assert!(attempt.start.begin(Instant::now()));
+        assert_eq!(attempt.start.begin(Instant::now()), Begin::Now);
     }
     let answer = timeout(SOON, ticket.answer()).await.expect("an answer");
     match answer {
@@ -158,7 +158,7 @@
     let (_, mut attempt) = core.attempt().await;
     std::thread::sleep(Duration::from_millis(700));
     assert!(timeout(SOON, &mut attempt.called_off).await.expect("called off").is_err());
-    assert!(!attempt.start.begin(Instant::now()));
+    assert_ne!(attempt.start.begin(Instant::now()), Begin::Now);
 }
 
 /// Two outcomes of one attempt, in either order, and one that comes after its attempt was given up: the first counts.
@@ -171,13 +171,13 @@
     let core = running(2, Class::default()).await;
     let _ticket = core.handle.submit(rpc(5000)).await.unwrap();
     let (_, first) = core.attempt().await;
-    assert!(first.start.begin(Instant::now()));
+    assert_eq!(first.start.begin(Instant::now()), Begin::Now);
     for outcome in outcomes {
         core.ended(&first, outcome).await;
     }
     let (_, mut second) = core.attempt().await;
     assert_eq!(second.id.trial, 1);
-    assert!(second.start.begin(Instant::now()));
+    assert_eq!(second.start.begin(Instant::now()), Begin::Now);
     // the late outcome of the first is none of the second, and orders no third beside it
     core.ended(&first, Outcome::Reset).await;
     assert!(timeout(Duration::from_millis(100), &mut second.called_off).await.is_err(), "called off");
@@ -195,17 +195,17 @@
     let ticket = core.handle.submit(rpc(5000)).await.unwrap();
     let (_, attempt) = core.attempt().await;
     if between {
-        assert!(attempt.start.begin(Instant::now()));
+        assert_eq!(attempt.start.begin(Instant::now()), Begin::Now);
         // the outcome and the news that the client has gone are taken in together
         core.mail.try_send(Mail::Ended(attempt.id, Instant::now(), Outcome::Reset.into())).unwrap();
         drop(ticket);
         if let Ok((_, late)) = timeout(Duration::from_millis(100), core.attempt()).await {
             sleep(Duration::from_millis(50)).await;
-            assert!(!late.start.begin(Instant::now()), "begun for a client that has gone");
+            assert_ne!(late.start.begin(Instant::now()), Begin::Now, "begun for a client that has gone");
         }
     } else {
         drop(ticket);
         sleep(Duration::from_millis(50)).await;
-        assert!(!attempt.start.begin(Instant::now()), "begun for a client that has gone");
+        assert_ne!(attempt.start.begin(Instant::now()), Begin::Now, "begun for a client that has gone");
     }
 }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -2,47 +2,25 @@
 
 mod common;
 
+use std::io::Write;
 use std::time::Duration;
 
 use common::peers::*;
-use serde_json::Value;
-use stilespan::config::Config;
+use common::small;
 use tokio::time::sleep;
 
-/// A request with a body of about so many KiB.
-fn large(kib: usize) -> Vec<u8> {
-    let body = format!("{{\"messages\":[],\"pad\":\"{}\"}}", "x".repeat(kib << 10));
-    let head = format!(
-        "POST /v1/chat/completions HTTP/1.1\r\nX-Trace-Id: {}\r\nX-Qos: batch-mark\r\nX-Expires-In-Ms: 10000\r\n\
-         Content-Length: {}\r\n\r\n{body}",
-        fresh_id(),
-        body.len()
-    );
-    head.into_bytes()
-}
-
-/// The configuration of a router that may hold no memory to speak of.
-fn small(address: &str) -> Config {
-    let text = config_text(&[("s-a", address, "SERVING")], None);
-    let mut value: Value = serde_json::from_str(&text).unwrap();
-    value["limits"]["memory_mb"] = 0.into();
-    // steps come as soon as there is mail: a request is decided on before anything else can be heard
-    value["settings"]["period"] = 0.into();
-    Config::parse(std::path::Path::new("small"), &value.to_string()).unwrap()
-}
-
 /// A client leaves while its body waits for room behind others: nothing is sent for it when there is room again.
 #[tokio::test]
 async fn a_client_that_left_while_its_body_waited_for_room_is_not_sent_on() {
     let server =
         peer(|n, _, _| if n < 2 { [vec![Step::Gate], answer("x")].concat() } else { answer("y") }).await;
-    let router = route(small(&server.address)).await;
+    let router = route(small::config(&server.address)).await;
     let (mut a, mut b) = (Client::new(&router.platform).await, Client::new(&router.platform).await);
-    a.send(&large(250)).await;
-    b.send(&large(250)).await;
+    a.send(&small::large(250, 10_000)).await;
+    b.send(&small::large(250, 10_000)).await;
     until("both are at the server", || server.requests() == 2).await;
     let mut gone = Client::new(&router.platform).await;
-    gone.send(&large(100)).await;
+    gone.send(&small::large(100, 10_000)).await;
     sleep(Duration::from_millis(100)).await;
     drop(gone);
     sleep(Duration::from_millis(150)).await;
@@ -51,7 +29,7 @@
     sleep(Duration::from_millis(200)).await;
     assert_eq!(server.requests(), 2);
     // and the room is whole again
-    assert!(Client::new(&router.platform).await.call(&large(250)).await.whole);
+    assert!(Client::new(&router.platform).await.call(&small::large(250, 10_000)).await.whole);
 }
 
 /// Hundreds of clients wait and leave together: from 0.1 s later on no attempt begins for any of them.
@@ -78,3 +56,23 @@
     // and a client that stays is served
     assert_eq!(ask(&router.platform, "batch-mark", 5000).await.head.status, 200);
 }
+
+/// A client sends its request and goes while the process is stopped: nothing is sent on when the process wakes, though the
+/// whole request is there.
+#[rstest::rstest]
+#[case::alone(b"")]
+#[case::behind_more_that_it_wrote(b"POST /v1/chat/completions HTTP/1.1\r\n")]
+#[tokio::test]
+async fn a_client_that_left_while_the_process_was_stopped_is_not_sent_on(#[case] more: &[u8]) {
+    let server = peer(|_, _, _| answer("x")).await;
+    let router = route(small::config(&server.address)).await;
+    assert_eq!(ask(&router.platform, "hint", 1000).await.head.status, 200);
+    for _ in 0..10 {
+        let mut stream = std::net::TcpStream::connect(&router.platform).unwrap();
+        stream.write_all(&[request("hint", 1000, "").as_slice(), more].concat()).unwrap();
+        drop(stream);
+        std::thread::sleep(Duration::from_millis(200));
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(server.requests(), 1);
+}
