A client's connection is a state machine that can't close over an answer that is owed

Change: ConnectionState (pure, property-tested) has the states idle, reading, answering and closed; Peer tells it each event of both fronts, and one that can't happen is logged as an error and fails a debug build. So every test over sockets, and the fault test's debug processes, hold that a request read whole ends before its connection closes.

--- a/src/batch/front.rs
+++ b/src/batch/front.rs
@@ -18,7 +18,7 @@
 use crate::edge::service::Serving;
 use crate::edge::{Caller, Edge};
 use crate::net::http::{Body, Framing, Head, HttpError, MAX_BODY, plain};
-use crate::net::listener::{Arrived, Next, Patience, Peer, Remainder};
+use crate::net::listener::{Arrived, Next, Patience, Peer, Remainder, RequestEnd};
 
 /// What a connection's client owes: on a poor link a head or a message takes its time, and a new connection too.
 /// Where sockets run out those that keep others waiting go first all the same.
@@ -496,6 +496,7 @@
         text.push_str(if close { "Connection: close\r\n\r\n" } else { "\r\n" });
         self.peer.write(text.as_bytes()).await?;
         if head.method == "HEAD" {
+            self.peer.ends(RequestEnd::Answered);
             return Ok(());
         }
         file.seek(std::io::SeekFrom::Start(from)).await?;
@@ -510,6 +511,7 @@
             self.peer.write(&room[..n]).await?;
             sent += n as u64;
         }
+        self.peer.ends(RequestEnd::Answered);
         Ok(())
     }
 }
--- a/src/net/channel/mod.rs
+++ b/src/net/channel/mod.rs
@@ -12,7 +12,7 @@
 use tracing::debug;
 
 use super::http::{Body, Framing, Head, HttpError, MAX_BODY, plain};
-use super::listener::{Arrived, Next, Patience, Peer, Remainder};
+use super::listener::{Arrived, Next, Patience, Peer, Remainder, RequestEnd};
 use super::subchannel::payload;
 use crate::core::{Answer, Handle, Rpc};
 use crate::traces::Traces;
@@ -71,7 +71,7 @@
         match done {
             Ok(Done::Keep) => {}
             Ok(Done::End) => return channel.peer.close(Remainder::Nothing).await,
-            Ok(Done::Gone) => return,
+            Ok(Done::Gone) => return channel.peer.ends(RequestEnd::ClientLeft),
             Ok(Done::Bad(reply, remainder)) => break (reply, remainder),
             Err(e) => {
                 // a peer's bytes could not be taken: say so, and close
@@ -161,6 +161,7 @@
                 }
                 Passed::Broken => {
                     ticket.broken();
+                    self.peer.ends(RequestEnd::Broken);
                     Ok(Done::End)
                 }
                 Passed::Gone => Ok(Done::Gone),
--- a/src/net/channel/reply.rs
+++ b/src/net/channel/reply.rs
@@ -81,12 +81,15 @@
                 }
                 next = if end.is_some() { None } else { pieces.try_recv().ok() };
             }
-            if let Some(end) = end {
+            if let Some(Passed::Whole(_)) = end {
                 self.peer.write_last(&out).await?;
-                return Ok(end);
+            } else {
+                self.peer.write(&out).await?;
             }
-            self.peer.write(&out).await?;
             out.clear();
+            if let Some(end) = end {
+                return Ok(end);
+            }
         }
     }
 
--- a/src/net/listener/closing.rs
+++ b/src/net/listener/closing.rs
@@ -3,6 +3,7 @@
 use tracing::debug;
 
 use super::client_socket::ClientSocket;
+use super::connection_state::ConnectionEvent;
 use super::{DRAIN, LINGER_UNREAD, Peer};
 use crate::net::http::{Body, Buffer};
 use crate::net::socket_state::SocketState;
@@ -23,6 +24,7 @@
     /// of the answered request is read; a request that comes now stays unread, and its client sends it once more. The
     /// connection makes room first where that is needed.
     pub async fn close(mut self, remainder: Remainder) {
+        self.happens(ConnectionEvent::Closes);
         let mut mark = self.arriving.take().map_or_else(|| self.shared.budget.idle(), |(mark, _)| mark);
         if self.socket.shutdown_write().is_err() {
             return;
--- a/src/net/listener/mod.rs
+++ b/src/net/listener/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod client_socket;
 mod closing;
+mod connection_state;
 mod heartbeat;
 mod peer;
 
@@ -23,9 +24,11 @@
 use crate::upkeep::Drained;
 
 use client_socket::ClientSocket;
+use connection_state::ConnectionState;
 
 pub use body::Arrived;
 pub use closing::Remainder;
+pub use connection_state::RequestEnd;
 pub use heartbeat::Heartbeat;
 pub use peer::{Next, Peer};
 
@@ -129,6 +132,7 @@
         let _ = stream.set_nodelay(true);
         handle(Peer {
             socket: ClientSocket::new(stream),
+            state: ConnectionState::Idle,
             buffer: Buffer::default(),
             shared: shared.clone(),
             patience,
--- a/src/net/listener/peer.rs
+++ b/src/net/listener/peer.rs
@@ -4,8 +4,10 @@
 use std::time::Instant;
 
 use tokio::time::timeout;
+use tracing::error;
 
 use super::client_socket::{ClientPresence, ClientSocket};
+use super::connection_state::{ConnectionEvent, ConnectionState, RequestEnd};
 use super::{EMPTY, EMPTY_CALL, LAST_CALL, Patience, STALLED, Shared};
 use crate::net::budget::{IdleMark, Permit};
 use crate::net::http::{self, Buffer, Head, HttpError};
@@ -14,6 +16,7 @@
 /// A client's connection. Its buffer holds bytes of the request under way only.
 pub struct Peer {
     pub(super) socket: ClientSocket,
+    pub(super) state: ConnectionState,
     pub(super) buffer: Buffer,
     pub(super) shared: Shared,
     pub(super) patience: Patience,
@@ -69,6 +72,7 @@
             return end;
         }
         let at = Instant::now();
+        self.happens(ConnectionEvent::Begins);
         mark.arrives();
         self.arriving = Some((mark, opened.unwrap_or(at) + self.patience.arriving));
         loop {
@@ -146,10 +150,28 @@
     /// The request is here whole: from now on the connection is not closed before its answer. What the client writes
     /// meanwhile lies in the system unseen.
     pub fn arrived(&mut self) {
-        self.arriving = None;
+        if self.arriving.take().is_some() {
+            self.happens(ConnectionEvent::Arrives);
+        }
         self.unseen_since.get_or_insert_with(Instant::now);
     }
 
+    /// The request ends.
+    pub fn ends(&mut self, end: RequestEnd) {
+        self.happens(ConnectionEvent::Ends(end));
+    }
+
+    /// Takes in what happens to the connection. An event that can't happen as it stands is a fault of this program.
+    pub(super) fn happens(&mut self, event: ConnectionEvent) {
+        match self.state.after(event) {
+            Ok(state) => self.state = state,
+            Err(invalid) => {
+                error!("{invalid}");
+                debug_assert!(false, "{invalid}");
+            }
+        }
+    }
+
     /// Writes to a client. Guards against one that stops reading and would hold a server's stream for ever.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
         timeout(STALLED, self.socket.write_all(bytes)).await.map_err(|_| HttpError::Ended)??;
@@ -159,7 +181,9 @@
     /// Writes the last of an answer. A client that waits for it writes its next request later than this.
     pub async fn write_last(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
         self.forget_unseen();
-        self.write(bytes).await
+        self.write(bytes).await?;
+        self.ends(RequestEnd::Answered);
+        Ok(())
     }
 
     /// Looks whether anything lies in the system unseen; where nothing does, what comes next has not come yet.
--- a/tests/common/small.rs
+++ b/tests/common/small.rs
@@ -3,7 +3,7 @@
 use serde_json::Value;
 use stilespan::config::Config;
 
-use super::peers::{config_text, fresh_id};
+use super::peers::{Client, Peer, Router, config_text, fresh_id, until};
 
 /// A request with a body of about so many KiB.
 pub fn large(kib: usize, expires_ms: u64) -> Vec<u8> {
@@ -17,6 +17,16 @@
     head.into_bytes()
 }
 
+/// Two clients whose bodies fill the memory, once the server holds both.
+pub async fn fill(router: &Router, server: &Peer) -> [Client; 2] {
+    let mut clients = [Client::new(&router.platform).await, Client::new(&router.platform).await];
+    for client in &mut clients {
+        client.send(&large(250, 10_000)).await;
+    }
+    until("both are at the server", || server.requests() == 2).await;
+    clients
+}
+
 /// The configuration of a router that may hold no memory to speak of.
 pub fn config(address: &str) -> Config {
     let text = config_text(&[("s-a", address, "SERVING")], None);
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -15,10 +15,7 @@
     let server =
         peer(|n, _, _| if n < 2 { [vec![Step::Gate], answer("x")].concat() } else { answer("y") }).await;
     let router = route(small::config(&server.address)).await;
-    let (mut a, mut b) = (Client::new(&router.platform).await, Client::new(&router.platform).await);
-    a.send(&small::large(250, 10_000)).await;
-    b.send(&small::large(250, 10_000)).await;
-    until("both are at the server", || server.requests() == 2).await;
+    let [mut a, mut b] = small::fill(&router, &server).await;
     let mut gone = Client::new(&router.platform).await;
     gone.send(&small::large(100, 10_000)).await;
     sleep(Duration::from_millis(100)).await;
--- a/tests/patience.rs
+++ b/tests/patience.rs
@@ -19,10 +19,7 @@
 async fn a_request_without_room_for_its_body_is_answered_in_time() {
     let server = peer(|_, _, _| [vec![Step::Gate], answer("x")].concat()).await;
     let router = route(small::config(&server.address)).await;
-    let (mut a, mut b) = (Client::new(&router.platform).await, Client::new(&router.platform).await);
-    a.send(&small::large(250, 10_000)).await;
-    b.send(&small::large(250, 10_000)).await;
-    until("both are at the server", || server.requests() == 2).await;
+    let _held = small::fill(&router, &server).await;
     let start = Instant::now();
     let mut client = Client::new(&router.platform).await;
     client.send(&small::large(100, 600)).await;
@@ -37,10 +34,7 @@
     let server =
         peer(|n, _, _| if n < 2 { [vec![Step::Gate], answer("x")].concat() } else { answer("y") }).await;
     let router = route(small::config(&server.address)).await;
-    let (mut a, mut b) = (Client::new(&router.platform).await, Client::new(&router.platform).await);
-    a.send(&small::large(250, 10_000)).await;
-    b.send(&small::large(250, 10_000)).await;
-    until("both are at the server", || server.requests() == 2).await;
+    let _held = small::fill(&router, &server).await;
     let mut client = Client::new(&router.platform).await;
     client.send(&small::large(100, 2000)).await;
     sleep(Duration::from_millis(800)).await;
