--- a/benches/edge.rs
+++ b/benches/edge.rs
@@ -11,7 +11,7 @@
 use standins::{ModelServer, Spec, Tally};
 use stilespan::identity;
 use stilespan::net::http::Buffer;
-use stilespan::net::subchannel::read_whole;
+use stilespan::net::upstream::read_whole;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use standins::{ModelServer, Spec, Tally};
 use stilespan::net::http::Buffer;
-use stilespan::net::subchannel::read_whole;
+use stilespan::net::upstream::read_whole;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
--- /dev/null
+++ b/src/batch/front/errors.rs
@@ -0,0 +1,50 @@
+//! What goes wrong in files and batches, in the public form.
+
+use crate::api::ApiError;
+use crate::batch::jobs::JobError;
+use crate::batch::store::StoreError;
+use crate::net::http::HttpError;
+
+impl From<StoreError> for ApiError {
+    fn from(e: StoreError) -> ApiError {
+        let status = match e {
+            StoreError::Unknown => 404,
+            StoreError::Busy | StoreError::Unfinished | StoreError::Offset(_) => 409,
+            StoreError::TooLarge(_) => 413,
+            StoreError::Full => 507,
+            StoreError::Io(_) => 500,
+        };
+        let error = ApiError::new(status, None, e.to_string());
+        if let StoreError::Offset(at) = e { error.with("Upload-Offset", at.to_string()) } else { error }
+    }
+}
+
+impl From<JobError> for ApiError {
+    fn from(e: JobError) -> ApiError {
+        match e {
+            JobError::Unknown => ApiError::new(404, None, e.to_string()),
+            JobError::Ended => ApiError::new(409, None, e.to_string()),
+            JobError::Full => ApiError::new(429, None, e.to_string()),
+            JobError::File(StoreError::Unknown) => ApiError::new(404, "input_file_id", e.to_string()),
+            JobError::File(_) => ApiError::new(400, "input_file_id", e.to_string()),
+        }
+    }
+}
+
+/// What goes wrong on a request: the client is told, or the connection is over.
+pub(in crate::batch) enum Wrong {
+    Api(ApiError),
+    Http(HttpError),
+}
+
+impl From<HttpError> for Wrong {
+    fn from(e: HttpError) -> Wrong {
+        Wrong::Http(e)
+    }
+}
+
+impl<E: Into<ApiError>> From<E> for Wrong {
+    fn from(e: E) -> Wrong {
+        Wrong::Api(e.into())
+    }
+}
--- a/src/batch/jobs.rs
+++ b/src/batch/jobs.rs
@@ -513,7 +513,7 @@
                 None => self.window.enter().await,
             };
             let chat = ask.chat.clone().map_err(|e| LineError::new("invalid_body", e.message))?;
-            let Some(trace_held) = live.traces.take(trace) else {
+            let Some(trace_held) = live.request_ids.take(trace) else {
                 return Err(LineError::new("internal_error", "the line's id is in use"));
             };
             let start = Instant::now();
--- a/src/batch/line.rs
+++ b/src/batch/line.rs
@@ -10,7 +10,7 @@
 use crate::api::ApiError;
 use crate::core::{Facts, Payload, Rpc};
 use crate::edge::chat::Chat;
-use crate::net::subchannel::payload;
+use crate::net::upstream::payload;
 use crate::wire::replica_id;
 
 /// A `custom_id` holds so much at most.
--- a/src/batch/live.rs
+++ b/src/batch/live.rs
@@ -15,7 +15,7 @@
 use crate::edge::chat::Chat;
 use crate::edge::service::{Part, Serving, Work};
 use crate::net::http::{Body, Head, HttpError};
-use crate::traces::{Traces, is_trace};
+use crate::request_ids::{RequestIds, is_request_id};
 
 /// What live requests need.
 #[derive(Clone)]
@@ -23,7 +23,7 @@
     /// The edge.
     pub edge: Arc<Edge>,
     /// The ids in use, over all fronts.
-    pub traces: Traces,
+    pub request_ids: RequestIds,
 }
 
 impl Session {
@@ -59,12 +59,12 @@
         let received = arrived.at;
         drop(arrived);
         let id = match head.get("x-trace-id") {
-            Some(id) if is_trace(id) => id.to_string(),
+            Some(id) if is_request_id(id) => id.to_string(),
             Some(_) => return Err(ApiError::new(400, "X-Trace-Id", "X-Trace-Id is no plain id").into()),
             None => self.id.clone(),
         };
         let in_use = || ApiError::new(409, "X-Trace-Id", "X-Trace-Id is in use");
-        let trace = live.traces.take(&id).ok_or_else(in_use)?;
+        let trace = live.request_ids.take(&id).ok_or_else(in_use)?;
         let patience = match head.get("x-expires-in-ms").map(str::parse::<u32>) {
             None => None,
             Some(Ok(ms)) => Some(Duration::from_millis(ms.into())),
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -10,7 +10,7 @@
 
 use crate::identity;
 use crate::net::http::Buffer;
-use crate::net::subchannel::read_whole;
+use crate::net::upstream::read_whole;
 
 /// An answer about budgets holds so much at most.
 const MOST_ANSWER: usize = 64 << 20;
--- a/src/config.rs
+++ b/src/config.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use crate::interface::Settings;
-use crate::net::list::RawList;
+use crate::net::discovery::list::RawList;
 use crate::wire::parse_settings;
 
 /// Why a router can't start.
--- a/src/core/actor/actions.rs
+++ b/src/core/actor/actions.rs
@@ -69,7 +69,7 @@
                 self.answer(request, |sent, attempts| Answer::Failed { sent, attempts })
             }
             Action::Probe { replica } => {
-                let sent = self.subchannels.get(&replica).map(|s| s.orders.try_send(Order::Probe).is_ok());
+                let sent = self.upstreams.get(&replica).map(|s| s.orders.try_send(Order::Probe).is_ok());
                 if sent != Some(true) {
                     let (outcome, took) = (Outcome::ConnectFailed, Dur(0));
                     self.events.push(Event::Probed { replica, outcome, took, report: None });
@@ -120,7 +120,7 @@
         open.out = Some(out);
         let deadline = self.clock.instant(until);
         let attempt = Attempt { id: AttemptId { request, trial }, payload, deadline, start, called_off };
-        let sent = self.subchannels.get(&replica).map(|s| s.orders.try_send(Order::Attempt(attempt)).is_ok());
+        let sent = self.upstreams.get(&replica).map(|s| s.orders.try_send(Order::Attempt(attempt)).is_ok());
         if sent == Some(true) {
             self.due.push(Reverse((until, Due::Attempt(request, trial))));
         } else if let Some(out) = open.out.take() {
--- a/src/core/actor/mail.rs
+++ b/src/core/actor/messages.rs
@@ -1,4 +1,4 @@
-//! Mail taken in: what becomes of it in the tables, and the events that the module is told.
+//! Messages taken in: what becomes of them in the tables, and the events that the module is told.
 
 use std::cmp::Reverse;
 use std::sync::Arc;
@@ -9,18 +9,18 @@
 use tracing::{debug, trace};
 
 use super::due::Due;
-use super::{Core, GUARD, LAST, Subchannel};
+use super::{Core, GUARD, LAST, Upstream};
 use crate::core::table::{Open, Out};
-use crate::core::{Answer, AttemptId, Ending, Facts, Host, Mail, Resolved, Rpc};
+use crate::core::{Answer, AttemptId, Ending, Facts, Host, Message, Resolved, Rpc};
 use crate::interface::{Arrival, Dur, Entry, Event, ListKind, Outcome, ReplicaId, RequestId, State, Time};
 
 impl Core {
-    pub(super) fn take(&mut self, mail: Mail) {
-        match mail {
-            Mail::Submit(rpc, answer, id) => self.submit(rpc, answer, id),
-            Mail::Gone(request) => self.gone(request),
-            Mail::Resolved(resolved) => self.resolved(resolved),
-            Mail::First(id, at, pieces) => {
+    pub(super) fn handle(&mut self, message: Message) {
+        match message {
+            Message::Submit(rpc, answer, id) => self.submit(rpc, answer, id),
+            Message::Gone(request) => self.gone(request),
+            Message::Resolved(resolved) => self.resolved(resolved),
+            Message::First(id, at, pieces) => {
                 let Some(open) = self.rpcs.get_mut(&id.request) else { return };
                 // an attempt that was called off meanwhile finds its pieces unwanted and stops
                 let Some(out) = open.out.as_mut().filter(|o| o.trial == id.trial) else { return };
@@ -38,8 +38,8 @@
                 );
                 self.events.push(Event::First { request: id.request, trial: id.trial, took });
             }
-            Mail::Ended(id, at, ending) => self.ended(id, at, ending),
-            Mail::Probed(replica, outcome, took, report) => {
+            Message::Ended(id, at, ending) => self.ended(id, at, ending),
+            Message::Probed(replica, outcome, took, report) => {
                 let took = Dur(took.as_micros() as u64);
                 trace!("probe at {:x}: {outcome:?} after {} us, {report:?}", replica.0, took.0);
                 self.events.push(Event::Probed { replica, outcome, took, report });
@@ -126,13 +126,13 @@
         self.bans.overlay(resolved.kind, entries, self.clock.at(Instant::now()));
         self.told = None;
         if matches!(resolved.kind, ListKind::Complete | ListKind::Error) {
-            self.naps.told();
+            self.stalls.told();
         }
         if resolved.kind != ListKind::Partial && resolved.kind != ListKind::Error {
             self.load.listed();
-            // a subchannel whose mailbox is dropped finishes what it holds
+            // an upstream whose mailbox is dropped finishes what it holds
             let named: Vec<ReplicaId> = resolved.hosts.iter().map(|h| h.entry.replica).collect();
-            self.subchannels.retain(|id, _| named.contains(id));
+            self.upstreams.retain(|id, _| named.contains(id));
         }
         for host in &resolved.hosts {
             self.host(host);
@@ -150,17 +150,17 @@
     pub(super) fn host(&mut self, host: &Host) {
         let replica = host.entry.replica;
         if host.entry.state == State::Terminated {
-            self.subchannels.remove(&replica);
+            self.upstreams.remove(&replica);
             return;
         }
         let (address, started) = (host.address.clone(), host.entry.started);
         // guards against requests written to idle connections of the process before, where it went without a word
-        let same = |s: &Subchannel| s.address == address && s.started == started;
-        if !self.subchannels.get(&replica).is_some_and(same) {
+        let same = |s: &Upstream| s.address == address && s.started == started;
+        if !self.upstreams.get(&replica).is_some_and(same) {
             // guards against sends meant for a host that has gone unnoticed, and met by the new one in its place
-            self.subchannels.retain(|_, s| s.address != address || s.started > started);
+            self.upstreams.retain(|_, s| s.address != address || s.started > started);
             let orders = self.connector.open(replica, host);
-            self.subchannels.insert(replica, Subchannel { address, started, orders });
+            self.upstreams.insert(replica, Upstream { address, started, orders });
         }
     }
 
--- a/src/core/actor/mod.rs
+++ b/src/core/actor/mod.rs
@@ -1,9 +1,9 @@
-//! The module's actor: mail in, events to the [`Balancer`], its actions carried out. It owns the RPC table,
+//! The module's actor: messages in, events to the [`Balancer`], its actions carried out. It owns the RPC table,
 //! the call attempts and all their timers, and decides nothing itself.
 
 mod actions;
 mod due;
-mod mail;
+mod messages;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -14,9 +14,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tracing::info;
 
-use super::naps::Naps;
+use super::stall_detector::StallDetector;
 use super::table::Open;
-use super::{Clock, Connector, Handle, ListOrder, Load, MAILBOX, Mail, Maintenance, Order};
+use super::{Clock, Connector, Handle, ListOrder, Load, MAILBOX, Maintenance, Message, Order};
 use crate::Balancer;
 use crate::interface::{Action, Class, Dur, Effect, Event, ReplicaId, RequestId, Settings, Time};
 use crate::ops::bans::{Ban, Bans};
@@ -27,15 +27,15 @@
 const GUARD: Dur = Dur(10_000);
 /// Where it gave none by then, the actor's own goes out this long ahead of the client's expiry.
 const LAST: Dur = Dur(3_000);
-/// Mail taken in before a step at the most, so that a flood can't put the step off.
-const GULP: usize = 512;
+/// Messages taken in before a step at the most, so that a flood can't put the step off.
+const MESSAGES_A_STEP: usize = 512;
 /// Operators' orders that wait for the actor at the most.
 const ORDERS: usize = 16;
 /// How often the figures of the fleet are told anew while there is something to decide.
 const TELL: Duration = Duration::from_millis(100);
 
-/// A host's subchannel.
-struct Subchannel {
+/// A host's upstream.
+struct Upstream {
     address: String,
     started: Time,
     orders: mpsc::Sender<Order>,
@@ -51,7 +51,7 @@
     pub max_open: usize,
     /// An attempt whose first byte is not out so long after its order is not sent any more.
     pub begin_within: Duration,
-    /// Makes subchannels.
+    /// Makes upstreams.
     pub connector: Box<dyn Connector>,
     /// The list's actor.
     pub resolver: mpsc::Sender<ListOrder>,
@@ -76,7 +76,7 @@
     windows: Vec<Option<Duration>>,
     connector: Box<dyn Connector>,
     resolver: mpsc::Sender<ListOrder>,
-    mail: mpsc::Receiver<Mail>,
+    messages: mpsc::Receiver<Message>,
     orders: mpsc::Receiver<Maintenance>,
     orders_to: mpsc::Sender<Maintenance>,
     done: Vec<Done>,
@@ -84,8 +84,8 @@
     figures: Arc<Figures>,
     /// When the figures of the fleet were last told; none when they are to be told with the next step.
     told: Option<Instant>,
-    naps: Naps,
-    subchannels: FxHashMap<ReplicaId, Subchannel>,
+    stalls: StallDetector,
+    upstreams: FxHashMap<ReplicaId, Upstream>,
     rpcs: FxHashMap<RequestId, Open>,
     load: Arc<Load>,
     last_id: u32,
@@ -101,9 +101,9 @@
 
 impl Core {
     /// Makes an actor that knows no hosts yet, and its mailbox.
-    pub fn new(parts: Parts) -> (Core, mpsc::Sender<Mail>) {
+    pub fn new(parts: Parts) -> (Core, mpsc::Sender<Message>) {
         let clock = Clock::start();
-        let (mail_to, mail) = mpsc::channel(MAILBOX);
+        let (messages_to, messages) = mpsc::channel(MAILBOX);
         let (orders_to, orders) = mpsc::channel(ORDERS);
         let core = Core {
             period: Duration::from_micros(parts.settings.period.0),
@@ -115,15 +115,15 @@
             clock,
             connector: parts.connector,
             resolver: parts.resolver,
-            mail,
+            messages,
             orders,
             orders_to,
             done: Vec::new(),
             bans: Bans::new(parts.bans),
             figures: parts.figures,
             told: None,
-            naps: Naps::new(Instant::now()),
-            subchannels: FxHashMap::default(),
+            stalls: StallDetector::new(Instant::now()),
+            upstreams: FxHashMap::default(),
             rpcs: FxHashMap::default(),
             load: Arc::default(),
             last_id: 0,
@@ -131,32 +131,32 @@
             events: Vec::new(),
             actions: Vec::new(),
         };
-        (core, mail_to)
+        (core, messages_to)
     }
 
     /// Starts the actor on this thread's runtime.
-    pub fn start(parts: Parts) -> (Handle, mpsc::Sender<Mail>) {
-        let (core, mail) = Core::new(parts);
+    pub fn start(parts: Parts) -> (Handle, mpsc::Sender<Message>) {
+        let (core, messages) = Core::new(parts);
         let handle =
-            Handle::new(mail.clone(), core.orders_to.clone(), core.load.clone(), core.figures.clone());
+            Handle::new(messages.clone(), core.orders_to.clone(), core.load.clone(), core.figures.clone());
         tokio::spawn(core.run());
-        (handle, mail)
+        (handle, messages)
     }
 
-    /// Runs until all senders of mail are gone.
+    /// Runs until all senders of messages are gone.
     pub async fn run(mut self) {
         // the first step arms the module's own timers
         self.step(Instant::now());
         let mut stepped = Instant::now();
         loop {
             let next = self.due.peek().map(|Reverse((at, _))| self.clock.instant(*at));
-            let beat = self.naps.next();
+            let beat = self.stalls.next();
             let wake = tokio::time::sleep_until(next.map_or(beat, |next| next.min(beat)).into());
             tokio::select! {
                 biased;
                 Some(order) = self.orders.recv() => self.maintain(order),
-                mail = self.mail.recv() => match mail {
-                    Some(mail) => self.take(mail),
+                message = self.messages.recv() => match message {
+                    Some(message) => self.handle(message),
                     None => return,
                 },
                 () = wake => {}
@@ -166,21 +166,21 @@
             while let Ok(order) = self.orders.try_recv() {
                 self.maintain(order);
             }
-            for _ in 0..GULP {
-                let Ok(mail) = self.mail.try_recv() else { break };
-                self.take(mail);
+            for _ in 0..MESSAGES_A_STEP {
+                let Ok(message) = self.messages.try_recv() else { break };
+                self.handle(message);
             }
             stepped = Instant::now();
-            if let Some(nap) = self.naps.runs(stepped) {
-                info!("away for {} ms: asking for the list before anything is sent", nap.as_millis());
+            if let Some(stall) = self.stalls.runs(stepped) {
+                info!("away for {} ms: asking for the list before anything is sent", stall.as_millis());
                 // guards against an attempt that was ordered by the list as it was before
                 self.take_back(|_| true, stepped);
                 if self.resolver.try_send(ListOrder::Confirm).is_err() {
-                    self.naps.told();
+                    self.stalls.told();
                 }
             }
             self.fall_due(self.clock.at(stepped));
-            if !self.events.is_empty() && !self.naps.holds(stepped) {
+            if !self.events.is_empty() && !self.stalls.holds(stepped) {
                 self.step(stepped);
             }
             for (to, answer) in self.done.drain(..) {
--- a/src/core/handle.rs
+++ b/src/core/handle.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use super::{Answer, Load, Mail, Maintenance, Rpc};
+use super::{Answer, Load, Maintenance, Message, Rpc};
 use crate::interface::{ReplicaId, RequestId};
 use crate::ops::bans::Ban;
 use crate::ops::figures::{End, Figures, Taken};
@@ -12,7 +12,7 @@
 /// A front's way to the module's actor.
 #[derive(Clone, Debug)]
 pub struct Handle {
-    mail: mpsc::Sender<Mail>,
+    messages: mpsc::Sender<Message>,
     orders: mpsc::Sender<Maintenance>,
     load: Arc<Load>,
     figures: Arc<Figures>,
@@ -33,12 +33,12 @@
 impl Handle {
     /// A way to the actor behind this mailbox.
     pub fn new(
-        mail: mpsc::Sender<Mail>,
+        messages: mpsc::Sender<Message>,
         orders: mpsc::Sender<Maintenance>,
         load: Arc<Load>,
         figures: Arc<Figures>,
     ) -> Handle {
-        Handle { mail, orders, load, figures }
+        Handle { messages, orders, load, figures }
     }
 
     /// The figures that RPCs are counted in.
@@ -71,8 +71,8 @@
         let taken = self.figures.take(rpc.facts.class);
         let (answer_to, answer) = oneshot::channel();
         let (id_to, id) = oneshot::channel();
-        self.mail.send(Mail::Submit(rpc, answer_to, id_to)).await.map_err(|_| Closed)?;
-        Ok(Ticket { answer, id: Some(id), mail: self.mail.clone(), taken, whole: End::Answered })
+        self.messages.send(Message::Submit(rpc, answer_to, id_to)).await.map_err(|_| Closed)?;
+        Ok(Ticket { answer, id: Some(id), messages: self.messages.clone(), taken, whole: End::Answered })
     }
 }
 
@@ -81,7 +81,7 @@
 pub struct Ticket {
     answer: oneshot::Receiver<Answer>,
     id: Option<oneshot::Receiver<RequestId>>,
-    mail: mpsc::Sender<Mail>,
+    messages: mpsc::Sender<Message>,
     taken: Taken,
     /// What it counts as once its answer has been passed on whole.
     whole: End,
@@ -114,11 +114,11 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let Some(id) = self.id.take() else { return };
-        let mail = self.mail.clone();
+        let messages = self.messages.clone();
         // the mailbox may be full and the id not given yet; neither may lose the news
         tokio::spawn(async move {
             if let Ok(id) = id.await {
-                let _ = mail.send(Mail::Gone(id)).await;
+                let _ = messages.send(Message::Gone(id)).await;
             }
         });
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,15 +1,15 @@
-//! The core: everything between a front and a subchannel that knows no wire.
+//! The core: everything between a front and an upstream that knows no wire.
 //!
 //! A front submits an [`Rpc`] through a [`Handle`] and gets one [`Answer`]. The module's actor ([`actor`]) turns
-//! mail into the decision module's events and carries its actions out as call attempts on subchannels. What
-//! a subchannel speaks, where its host came from and what an RPC holds is no concern of this folder.
+//! messages into the decision module's events and carries its actions out as call attempts on upstreams. What
+//! an upstream speaks, where its host came from and what an RPC holds is no concern of this folder.
 
 pub mod actor;
 mod client;
 mod clock;
 mod handle;
 mod load;
-pub mod naps;
+pub mod stall_detector;
 mod start;
 mod table;
 
@@ -28,9 +28,9 @@
 pub use load::Load;
 pub use start::{Begin, Start};
 
-/// Pieces of an answer that wait for a slow client at the most; the subchannel's connection then waits too.
+/// Pieces of an answer that wait for a slow client at the most; the upstream's connection then waits too.
 pub const PIECES: usize = 16;
-/// Mail that waits for the module's actor at the most.
+/// Messages that wait for the module's actor at the most.
 pub const MAILBOX: usize = 4096;
 
 /// What a front knows of an RPC as it comes in.
@@ -68,7 +68,7 @@
     pub spent: u32,
 }
 
-/// What is sent for an RPC. Opaque here: a front makes it, a subchannel writes it.
+/// What is sent for an RPC. Opaque here: a front makes it, an upstream writes it.
 #[derive(Clone, Debug, Default)]
 pub struct Payload {
     /// What goes ahead of the body.
@@ -144,9 +144,9 @@
     pub hosts: Vec<Host>,
 }
 
-/// Mail for the module's actor.
+/// A message for the module's actor.
 #[derive(Debug)]
-pub enum Mail {
+pub enum Message {
     /// A front submits an RPC.
     Submit(Rpc, oneshot::Sender<Answer>, oneshot::Sender<RequestId>),
     /// Nobody waits for an RPC any more.
@@ -187,7 +187,7 @@
     }
 }
 
-/// Mail for a subchannel's actor.
+/// A message for an upstream's actor.
 #[derive(Debug)]
 pub enum Order {
     /// Make this call attempt, once.
@@ -211,13 +211,13 @@
     pub called_off: oneshot::Receiver<()>,
 }
 
-/// Makes subchannels. The core holds one mailbox a host and drops it when the host is gone.
+/// Makes upstreams. The core holds one mailbox a host and drops it when the host is gone.
 pub trait Connector: Send {
-    /// Starts a subchannel's actor for a host.
+    /// Starts an upstream's actor for a host.
     fn open(&self, replica: ReplicaId, host: &Host) -> mpsc::Sender<Order>;
 }
 
-/// Mail for the list's actor.
+/// A message for the list's actor.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ListOrder {
     /// The module wants the list's changes from now on.
@@ -230,7 +230,7 @@
     Told(u64, Resolved),
 }
 
-/// An operator's order about a model server. Orders have a mailbox of their own, ahead of clients' mail.
+/// An operator's order about a model server. Orders have a mailbox of their own, ahead of clients' messages.
 #[derive(Debug)]
 pub struct Maintenance {
     /// Which one.
--- a/src/edge/members.rs
+++ b/src/edge/members.rs
@@ -16,11 +16,11 @@
 use tracing::{debug, info, warn};
 
 use super::Edge;
-use crate::core::{Host, Mail, Resolved};
+use crate::core::{Host, Message, Resolved};
 use crate::interface::{ListKind, ReplicaId, State, Time};
 use crate::net::budget::Budget;
 use crate::net::http::Buffer;
-use crate::net::subchannel::read_whole;
+use crate::net::upstream::read_whole;
 
 /// A host that has not told its models by then is asked again later.
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -46,14 +46,19 @@
 }
 
 /// Runs until the list's actors or the module's are gone.
-pub async fn run(edge: Arc<Edge>, mut from: mpsc::Receiver<Mail>, to: mpsc::Sender<Mail>, budget: Budget) {
+pub async fn run(
+    edge: Arc<Edge>,
+    mut from: mpsc::Receiver<Message>,
+    to: mpsc::Sender<Message>,
+    budget: Budget,
+) {
     let mut hosts: HashMap<ReplicaId, Known> = HashMap::new();
     let mut asked: JoinSet<Told> = JoinSet::new();
     let mut tick = tokio::time::interval(LOOK);
     loop {
         let news = tokio::select! {
-            mail = from.recv() => match mail {
-                Some(Mail::Resolved(resolved)) => Some(edge.listed(resolved, &mut hosts)),
+            message = from.recv() => match message {
+                Some(Message::Resolved(resolved)) => Some(edge.listed(resolved, &mut hosts)),
                 Some(other) => {
                     if to.send(other).await.is_err() {
                         return;
@@ -76,7 +81,7 @@
             }
         };
         if let Some(news) = news
-            && to.send(Mail::Resolved(news)).await.is_err()
+            && to.send(Message::Resolved(news)).await.is_err()
         {
             return;
         }
--- a/src/edge/service.rs
+++ b/src/edge/service.rs
@@ -15,10 +15,10 @@
 use crate::api::ApiError;
 use crate::core::{Answer, Client, Facts, Piece, Rpc, Ticket};
 use crate::interface::Dur;
-use crate::net::subchannel::payload;
+use crate::net::upstream::payload;
+use crate::request_ids::HeldId;
 use crate::routing::{Ask, Catalog, Ended, GaveUp, Leg, NotAsked, Route, Step};
 use crate::spend::{HoldId, NodeId, Price, Refusal};
-use crate::traces::Trace;
 
 /// The longest patience of a client that is believed.
 const MAX_PATIENCE: Duration = Duration::from_secs(600);
@@ -36,7 +36,7 @@
     /// When it had come in whole.
     pub received: Instant,
     /// The id that model servers see.
-    pub trace: Trace,
+    pub trace: HeldId,
     /// Somebody waits for it now.
     pub live: bool,
     /// Who; none where nobody can leave.
@@ -140,7 +140,7 @@
 /// An answer that has begun.
 pub struct Serving {
     /// The id that it goes by.
-    pub trace: Trace,
+    pub trace: HeldId,
     /// The name of the model that was asked for.
     pub asked: String,
     catalog: Arc<Catalog>,
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -13,9 +13,9 @@
 use tokio::sync::mpsc;
 use tracing::{info, warn};
 
-use crate::core::{Host, ListOrder, Mail, Resolved};
+use crate::core::{Host, ListOrder, Message, Resolved};
 use crate::interface::{Entry, ListKind, State, Time};
-use crate::net::list::zone;
+use crate::net::discovery::list::zone;
 use crate::wire::replica_id;
 
 /// How often the file is looked at.
@@ -383,7 +383,7 @@
     path: PathBuf,
     localities: Vec<String>,
     mut asked: mpsc::Receiver<ListOrder>,
-    mail: mpsc::Sender<Mail>,
+    messages: mpsc::Sender<Message>,
 ) {
     let mut held: Option<Vec<Host>> = None;
     let mut seen: Option<Stamp> = None;
@@ -418,7 +418,7 @@
             Some(hosts) => Resolved { kind: ListKind::Complete, hosts },
             None => Resolved { kind: ListKind::Error, hosts: Vec::new() },
         };
-        if mail.send(Mail::Resolved(news)).await.is_err() {
+        if messages.send(Message::Resolved(news)).await.is_err() {
             return;
         }
     }
--- a/src/upkeep.rs
+++ b/src/lifecycle.rs
@@ -74,7 +74,7 @@
 pub type Forward = (Call, oneshot::Sender<bool>);
 
 /// Carries calls out.
-pub struct Upkeep {
+pub struct Lifecycle {
     core: Handle,
     drained: watch::Sender<Drained>,
     /// The orders in force; held while one is carried out, so that they are kept in the order in which they came.
@@ -86,7 +86,7 @@
     others: Mutex<Vec<(u64, mpsc::Sender<Forward>)>>,
 }
 
-impl Upkeep {
+impl Lifecycle {
     /// With the core, the flag that the fronts watch, and the orders in force so far. `serves`: it can serve from the
     /// start, and need not wait for a process before it.
     pub fn new(
@@ -95,12 +95,12 @@
         orders: Orders,
         file: Option<PathBuf>,
         serves: bool,
-    ) -> Arc<Upkeep> {
+    ) -> Arc<Lifecycle> {
         if orders.drained {
             drained.send_replace(Some(Instant::now()));
             core.figures().drained(true);
         }
-        Arc::new(Upkeep {
+        Arc::new(Lifecycle {
             core,
             drained,
             orders: tokio::sync::Mutex::new(orders),
--- a/src/list_clock/mod.rs
+++ b/src/list_timer/mod.rs
@@ -17,7 +17,7 @@
 
 /// The clock of one gateway's calls.
 #[derive(Clone, Copy, Debug)]
-pub struct ListClock {
+pub struct ListTimer {
     on: bool,
     least: Dur,
     most: Dur,
@@ -25,14 +25,14 @@
     next: Option<Time>,
 }
 
-impl ListClock {
+impl ListTimer {
     /// The first call comes within a quarter of the time allowed and [`FIRST`], by `luck` from 0 to 1, so
     /// that gateways that start together don't call together.
-    pub fn new(set: &Settings, luck: f64, now: Time) -> ListClock {
+    pub fn new(set: &Settings, luck: f64, now: Time) -> ListTimer {
         let most = LATEST.min(Dur(set.must_ask_in.0 / 2));
         let spread = (set.must_ask_in.0 / 64).max(CALL.0 * u64::from(set.instances));
         let first = now + Dur::from_secs(luck * FIRST.min(Dur(set.must_ask_in.0 / 4)).secs());
-        ListClock {
+        ListTimer {
             on: set.ask,
             least: Dur(spread).min(most),
             most,
--- a/src/list_clock/tests.rs
+++ b/src/list_timer/tests.rs
@@ -7,9 +7,9 @@
 /// What counts as told although it was never heard.
 const TOLD: Dur = Dur(6_000_000);
 
-fn clock(instances: u32, must_ask_in: u64, luck: f64) -> ListClock {
+fn clock(instances: u32, must_ask_in: u64, luck: f64) -> ListTimer {
     let set = Settings { ask: true, instances, must_ask_in: Dur(must_ask_in), ..Settings::default() };
-    ListClock::new(&set, luck, Time(0))
+    ListTimer::new(&set, luck, Time(0))
 }
 
 proptest! {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -1,5 +1,5 @@
 //! The operators' address: a thin front of six calls, one to a connection. Its descriptors are set aside from the
-//! shares of clients and model servers, its callers are few, and no call waits behind clients' mail.
+//! shares of clients and model servers, its callers are few, and no call waits behind clients' messages.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -13,7 +13,7 @@
 use tracing::{debug, warn};
 
 use super::http::{self, Body, Buffer, Head, HttpError};
-use crate::upkeep::{Call, No, Upkeep};
+use crate::lifecycle::{Call, Lifecycle, No};
 
 /// Callers at once; one more closes the one that has been silent for longest.
 pub const CALLERS: usize = 8;
@@ -46,7 +46,7 @@
 }
 
 /// Takes calls until it is dropped.
-pub async fn serve(listener: TcpListener, upkeep: Arc<Upkeep>) {
+pub async fn serve(listener: TcpListener, lifecycle: Arc<Lifecycle>) {
     let mut callers: VecDeque<Caller> = VecDeque::new();
     loop {
         let stream = match listener.accept().await {
@@ -66,13 +66,13 @@
             caller.task.abort();
         }
         let whole = Arc::<AtomicBool>::default();
-        let task = tokio::spawn(answer(stream, upkeep.clone(), whole.clone()));
+        let task = tokio::spawn(answer(stream, lifecycle.clone(), whole.clone()));
         callers.push_back(Caller { whole, task });
     }
 }
 
 /// Answers the one call of a connection.
-async fn answer(mut stream: TcpStream, upkeep: Arc<Upkeep>, whole: Arc<AtomicBool>) {
+async fn answer(mut stream: TcpStream, lifecycle: Arc<Lifecycle>, whole: Arc<AtomicBool>) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Buffer::default();
     let read = timeout(PATIENCE, read(&mut stream, &mut buffer)).await;
@@ -80,7 +80,7 @@
         Ok(head) => {
             whole.store(true, Ordering::Relaxed);
             match call(&head) {
-                Ok(call) => carry_out(call, &upkeep).await,
+                Ok(call) => carry_out(call, &lifecycle).await,
                 Err(reply) => reply,
             }
         }
@@ -132,8 +132,8 @@
     Ok(head)
 }
 
-async fn carry_out(call: Call, upkeep: &Upkeep) -> Reply {
-    match upkeep.call(call).await {
+async fn carry_out(call: Call, lifecycle: &Lifecycle) -> Reply {
+    match lifecycle.call(call).await {
         Ok(text) => Reply { status: "200 OK", allow: None, text },
         Err(no) => Reply::no(
             if no == No::Unlisted { "404 Not Found" } else { "503 Service Unavailable" },
--- a/src/net/catalog.rs
+++ b/src/net/discovery/catalog.rs
@@ -6,9 +6,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::http::Buffer;
 use super::list::RawList;
-use super::subchannel::read_whole;
+use crate::net::http::Buffer;
+use crate::net::upstream::read_whole;
 
 /// How long a watch waits at discovery. Short: guards against an answer that never arrives, whose news count as
 /// told soon after the wait's end all the same.
@@ -21,7 +21,7 @@
 /// Why a call brought no list.
 #[derive(Debug)]
 pub(super) enum Failure {
-    Net(super::http::HttpError),
+    Net(crate::net::http::HttpError),
     Status(u16),
     List(serde_json::Error),
     Late,
@@ -38,7 +38,7 @@
     }
 }
 
-impl<E: Into<super::http::HttpError>> From<E> for Failure {
+impl<E: Into<crate::net::http::HttpError>> From<E> for Failure {
     fn from(e: E) -> Failure {
         Failure::Net(e.into())
     }
--- a/src/net/resolver.rs
+++ b/src/net/discovery/resolver.rs
@@ -8,7 +8,7 @@
 
 use super::catalog::{Catalog, Failure};
 use super::list::{RawHost, RawList};
-use crate::core::{ListOrder, Mail, Resolved};
+use crate::core::{ListOrder, Message, Resolved};
 use crate::interface::ListKind;
 
 /// A watch that fell silent is opened anew within so long, at a moment of the router's own. Guards against news that
@@ -53,7 +53,7 @@
 /// says when to ask again, but for one that fell silent, which is opened anew once at once. A new address is called at once, and for its whole list: another service's revisions
 /// need not go on from the old one's. A call under way at the old address is given up; its answer, of a service
 /// that is going away, would hold the new list up until its wait has passed.
-pub async fn run(options: Options, mut asked: mpsc::Receiver<ListOrder>, mail: mpsc::Sender<Mail>) {
+pub async fn run(options: Options, mut asked: mpsc::Receiver<ListOrder>, messages: mpsc::Sender<Message>) {
     let shown = options.show.as_ref().and_then(|show| show.borrow().clone());
     let held = shown.map(|list| list.members).unwrap_or_default();
     let held = held.into_iter().map(|host| (host.id.clone(), host)).collect();
@@ -72,7 +72,7 @@
                 // the next call asks for what came after that
                 if revision > resolver.options.revision {
                     resolver.options.revision = revision;
-                    let _ = mail.send(Mail::Resolved(list)).await;
+                    let _ = messages.send(Message::Resolved(list)).await;
                 }
                 continue;
             }
@@ -93,7 +93,7 @@
                             Some(ListOrder::Move(address)) => break Err(Some(address)),
                             // the call's answer tells of what is newer still
                             Some(ListOrder::Told(told, list)) => if told > revision {
-                                let _ = mail.send(Mail::Resolved(list)).await;
+                                let _ = messages.send(Message::Resolved(list)).await;
                             },
                             None => return,
                         },
@@ -147,7 +147,7 @@
             }
             let failed = news.is_none();
             let news = news.unwrap_or(Resolved { kind: ListKind::Error, hosts: Vec::new() });
-            if mail.send(Mail::Resolved(news)).await.is_err() {
+            if messages.send(Message::Resolved(news)).await.is_err() {
                 return;
             }
             if failed && resolver.options.pushed {
--- a/src/net/channel/facts.rs
+++ b/src/net/downstream/facts.rs
@@ -3,12 +3,12 @@
 use std::time::{Duration, Instant};
 
 use super::reply::Reply;
-use super::{Channel, MAX_PATIENCE, PATIENCE};
+use super::{Downstream, MAX_PATIENCE, PATIENCE};
 use crate::core::Facts;
 use crate::net::http::{Head, plain};
-use crate::traces::is_trace;
+use crate::request_ids::is_request_id;
 
-impl Channel {
+impl Downstream {
     /// What a request's head tells, and its id.
     pub(super) fn facts<'a>(&self, head: &'a Head) -> Result<(Facts, &'a str), Reply> {
         let bad = |text| Reply::new(400, "Bad Request", text);
@@ -24,7 +24,7 @@
             None => self.front.deadlines.get(class).copied().unwrap_or(PATIENCE),
         };
         let id = head.get("x-trace-id").unwrap_or_default();
-        if !is_trace(id) || !plain(&head.target) {
+        if !is_request_id(id) || !plain(&head.target) {
             return Err(bad("X-Trace-Id"));
         }
         let again = head.get("x-second-try");
--- a/src/net/channel/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -1,4 +1,4 @@
-//! Channels: the clients' side of the platform's protocol. A thin front: heads and bodies become RPCs, answers
+//! Client connections: the clients' side of the platform's protocol. A thin front: heads and bodies become RPCs, answers
 //! become streams or refusals. It decides nothing.
 
 mod facts;
@@ -13,19 +13,19 @@
 
 use super::http::{Body, Framing, Head, HttpError, MAX_BODY, plain};
 use super::listener::{Arrived, Next, Patience, Peer, Remainder, RequestEnd};
-use super::subchannel::payload;
+use super::upstream::payload;
 use crate::core::{Answer, Handle, Rpc};
-use crate::traces::Traces;
+use crate::request_ids::RequestIds;
 use reply::{Passed, Reply};
 
 /// The patience of a client that tells none, where its class tells none either.
 const PATIENCE: Duration = Duration::from_secs(10);
 
-/// What a channel's client owes: the platform's clients have their requests ready when they connect.
+/// What a downstream's client owes: the platform's clients have their requests ready when they connect.
 pub const OWED: Patience = Patience { idle: Duration::from_secs(2), arriving: Duration::from_millis(2500) };
 /// The longest patience that is believed; classes' deadlines are far shorter.
 const MAX_PATIENCE: Duration = Duration::from_secs(600);
-/// What all channels share.
+/// What all client connections share.
 pub struct Front {
     /// The way to the core.
     pub core: Handle,
@@ -38,40 +38,40 @@
     /// The names of the tenants.
     pub tenants: Vec<String>,
     /// The ids in use.
-    pub traces: Traces,
+    pub request_ids: RequestIds,
 }
 
-struct Channel {
+struct Downstream {
     front: Arc<Front>,
     peer: Peer,
 }
 
 /// What a request came to.
 enum Done {
-    /// The channel can be used again.
+    /// The downstream can be used again.
     Keep,
     /// Its client has gone.
     Gone,
-    /// It is answered, as far as it can be, and the channel ends.
+    /// It is answered, as far as it can be, and the downstream ends.
     End,
-    /// It was no request: this is its answer, and the channel ends.
+    /// It was no request: this is its answer, and the downstream ends.
     Bad(Reply, Remainder),
 }
 
 /// Serves one client's connection to its end.
 pub async fn run(front: Arc<Front>, peer: Peer) {
-    let mut channel = Channel { front, peer };
+    let mut downstream = Downstream { front, peer };
     let bad = loop {
-        let done = match channel.peer.next().await {
-            Next::Request(head) => channel.answer(&head).await,
+        let done = match downstream.peer.next().await {
+            Next::Request(head) => downstream.answer(&head).await,
             Next::Bad(e) => Err(e),
-            Next::End => return channel.peer.close(Remainder::Nothing).await,
+            Next::End => return downstream.peer.close(Remainder::Nothing).await,
             Next::Gone => return,
         };
         match done {
             Ok(Done::Keep) => {}
-            Ok(Done::End) => return channel.peer.close(Remainder::Nothing).await,
-            Ok(Done::Gone) => return channel.peer.ends(RequestEnd::ClientLeft),
+            Ok(Done::End) => return downstream.peer.close(Remainder::Nothing).await,
+            Ok(Done::Gone) => return downstream.peer.ends(RequestEnd::ClientLeft),
             Ok(Done::Bad(reply, remainder)) => break (reply, remainder),
             Err(e) => {
                 // a peer's bytes could not be taken: say so, and close
@@ -82,12 +82,12 @@
         }
     };
     let (reply, remainder) = bad;
-    if channel.reply(&reply, true).await.is_ok() {
-        channel.peer.close(remainder).await;
+    if downstream.reply(&reply, true).await.is_ok() {
+        downstream.peer.close(remainder).await;
     }
 }
 
-impl Channel {
+impl Downstream {
     /// Answers one request. All that its head can tell is looked at ahead of its body: guards against bodies that
     /// are read, and held, for requests that can't be served.
     async fn answer(&mut self, head: &Head) -> Result<Done, HttpError> {
@@ -133,7 +133,7 @@
             return bad(Reply::new(400, "Bad Request", "the body is no JSON object"), body);
         }
         // taken only now that the request is here whole: one that never came whole is sent once more under its id
-        let Some(trace) = self.front.traces.take(id) else {
+        let Some(trace) = self.front.request_ids.take(id) else {
             return bad(Reply::new(409, "Conflict", "X-Trace-Id is in use"), body);
         };
         self.peer.arrived();
--- a/src/net/channel/reply.rs
+++ b/src/net/downstream/reply.rs
@@ -5,7 +5,7 @@
 use bytes::{BufMut, BytesMut};
 use tokio::sync::mpsc;
 
-use super::{Channel, Done};
+use super::{Done, Downstream};
 use crate::core::Piece;
 use crate::net::http::HttpError;
 
@@ -36,7 +36,7 @@
 
 /// What passing an answer on came to.
 pub(super) enum Passed {
-    /// All of it, and whether the channel can be used again.
+    /// All of it, and whether the downstream can be used again.
     Whole(bool),
     /// It broke off.
     Broken,
@@ -44,7 +44,7 @@
     Gone,
 }
 
-impl Channel {
+impl Downstream {
     /// Passes an answer's pieces on as they come. Where it breaks the connection ends without the last chunk.
     pub(super) async fn pass_on(
         &mut self,
--- a/src/net/listener/mod.rs
+++ b/src/net/listener/mod.rs
@@ -21,7 +21,7 @@
 
 use super::budget::{Budget, Permit};
 use super::http::Buffer;
-use crate::upkeep::Drained;
+use crate::lifecycle::Drained;
 
 use client_socket::ClientSocket;
 use connection_state::ConnectionState;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,12 +2,10 @@
 
 pub mod admin;
 pub mod budget;
-mod catalog;
-pub mod channel;
+pub mod discovery;
+pub mod downstream;
 pub mod handover;
 pub mod http;
-pub mod list;
 pub mod listener;
-pub mod resolver;
 mod socket_state;
-pub mod subchannel;
+pub mod upstream;
--- a/src/net/subchannel/attempt.rs
+++ b/src/net/upstream/attempt.rs
@@ -9,12 +9,12 @@
 use tokio::sync::mpsc;
 use tracing::{debug, trace};
 
-use super::{Connection, EVENTS, SILENCE, Subchannel, TAIL};
-use crate::core::{Attempt, AttemptId, Begin, Ending, Mail, PIECES, Payload, Piece, Start};
+use super::{Connection, EVENTS, SILENCE, TAIL, Upstream};
+use crate::core::{Attempt, AttemptId, Begin, Ending, Message, PIECES, Payload, Piece, Start};
 use crate::interface::Outcome;
 use crate::net::http::{self, Body, Buffer, FirstEvent, Framing, Head, HttpError};
 
-impl Subchannel {
+impl Upstream {
     /// Makes a call attempt, and tells the module how it ended.
     pub(super) async fn attempt(self: Arc<Self>, attempt: Attempt) {
         let Attempt { id, payload, deadline, start, called_off } = attempt;
@@ -25,7 +25,7 @@
             ending = self.call(id, payload, deadline, &start) => ending,
         };
         if let Some((ending, end)) = ending {
-            let _ = self.mail.send(Mail::Ended(id, Instant::now(), ending)).await;
+            let _ = self.messages.send(Message::Ended(id, Instant::now(), ending)).await;
             if let Some((pieces, last)) = end {
                 let _ = pieces.send(last).await;
             }
@@ -55,7 +55,7 @@
             }
             Begin::ClientLeft => {
                 debug!("{}: an attempt whose client has left is not begun", self.address);
-                let _ = self.mail.send(Mail::Gone(id.request)).await;
+                let _ = self.messages.send(Message::Gone(id.request)).await;
                 return None;
             }
         }
@@ -129,7 +129,7 @@
                         break false;
                     }
                     let (to, pieces) = mpsc::channel(PIECES);
-                    self.mail.send(Mail::First(id, Instant::now(), pieces)).await.ok()?;
+                    self.messages.send(Message::First(id, Instant::now(), pieces)).await.ok()?;
                     (&*started.insert(to), std::mem::take(&mut ahead).freeze())
                 }
             };
--- a/src/net/subchannel/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -1,4 +1,4 @@
-//! Subchannels: the model servers' side. An actor with a mailbox for each server, a pool of its connections,
+//! Upstreams: the model servers' side. An actor with a mailbox for each server, a pool of its connections,
 //! call attempts and probes. Every send is a call attempt that the module ordered; nothing is sent again here.
 
 mod attempt;
@@ -15,7 +15,7 @@
 
 use super::budget::{Budget, Permit};
 use super::http::{self, Body, Buffer, Head, HttpError};
-use crate::core::{Connector, Host, Mail, Order, Payload};
+use crate::core::{Connector, Host, Message, Order, Payload};
 use crate::interface::ReplicaId;
 use crate::ops::figures::Figures;
 use pool::Pool;
@@ -36,14 +36,14 @@
 /// A connection is used again so long after its last answer at the soonest. Guards against a second answer of a server's
 /// that comes some milliseconds after the first, and would be taken for the next request's.
 const SETTLE: Duration = Duration::from_millis(50);
-/// Orders that wait for a subchannel's actor at the most.
+/// Orders that wait for an upstream's actor at the most.
 const MAILBOX: usize = 1024;
 /// The kind of an answer that holds a stream of events.
 const EVENTS: &str = "text/event-stream";
 /// The end of a stream that is searched for what was found kept.
 const TAIL: usize = 1024;
 
-/// What all subchannels share.
+/// What all upstreams share.
 #[derive(Clone, Debug)]
 pub struct Options {
     /// A connection not up by then has failed.
@@ -54,7 +54,7 @@
     pub report: Vec<String>,
 }
 
-/// Makes subchannels over TCP.
+/// Makes upstreams over TCP.
 pub struct Tcp {
     /// What they share.
     pub options: Options,
@@ -63,24 +63,24 @@
     /// Counts call attempts that were written.
     pub figures: Arc<Figures>,
     /// The module's mailbox, once there is one.
-    pub mail: Arc<std::sync::OnceLock<mpsc::Sender<Mail>>>,
+    pub messages: Arc<std::sync::OnceLock<mpsc::Sender<Message>>>,
 }
 
 impl Connector for Tcp {
     fn open(&self, replica: ReplicaId, host: &Host) -> mpsc::Sender<Order> {
         let (orders_to, orders) = mpsc::channel(MAILBOX);
-        if let Some(mail) = self.mail.get() {
-            let subchannel = Subchannel {
+        if let Some(messages) = self.messages.get() {
+            let upstream = Upstream {
                 replica,
                 address: host.address.clone(),
                 options: self.options.clone(),
                 budget: self.budget.clone(),
                 figures: self.figures.clone(),
-                mail: mail.clone(),
+                messages: messages.clone(),
                 pool: Mutex::default(),
             };
-            debug!("subchannel {} ({:x}) at {}", host.name, replica.0, host.address);
-            tokio::spawn(Arc::new(subchannel).run(orders));
+            debug!("upstream {} ({:x}) at {}", host.name, replica.0, host.address);
+            tokio::spawn(Arc::new(upstream).run(orders));
         }
         orders_to
     }
@@ -113,17 +113,17 @@
     _permit: Permit,
 }
 
-struct Subchannel {
+struct Upstream {
     replica: ReplicaId,
     address: String,
     options: Options,
     budget: Budget,
     figures: Arc<Figures>,
-    mail: mpsc::Sender<Mail>,
+    messages: mpsc::Sender<Message>,
     pool: Mutex<Pool>,
 }
 
-impl Subchannel {
+impl Upstream {
     async fn run(self: Arc<Self>, mut orders: mpsc::Receiver<Order>) {
         while let Some(order) = orders.recv().await {
             match order {
--- a/src/net/subchannel/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 use tracing::debug;
 
-use super::{Connection, IDLE_PART, MAX_REST, REST, SETTLE, Subchannel};
+use super::{Connection, IDLE_PART, MAX_REST, REST, SETTLE, Upstream};
 use crate::net::budget::IdleMark;
 use crate::net::http::{Body, Buffer, Framing, Head};
 use crate::net::socket_state::{SocketState, socket_state};
@@ -39,7 +39,7 @@
     }
 }
 
-impl Subchannel {
+impl Upstream {
     pub(super) fn pool(&self) -> MutexGuard<'_, Pool> {
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/net/subchannel/probe.rs
+++ b/src/net/upstream/probe.rs
@@ -7,16 +7,16 @@
 use tokio::time::timeout;
 use tracing::trace;
 
-use super::{PROBE, Subchannel};
-use crate::core::Mail;
+use super::{PROBE, Upstream};
+use crate::core::Message;
 use crate::interface::{Outcome, Report};
 use crate::net::http;
 
-impl Subchannel {
+impl Upstream {
     pub(super) async fn probe(self: Arc<Self>) {
         let start = Instant::now();
         let (outcome, report) = timeout(PROBE, self.ask_load()).await.unwrap_or((Outcome::Timeout, None));
-        let _ = self.mail.send(Mail::Probed(self.replica, outcome, start.elapsed(), report)).await;
+        let _ = self.messages.send(Message::Probed(self.replica, outcome, start.elapsed(), report)).await;
     }
 
     pub(super) async fn ask_load(&self) -> (Outcome, Option<Report>) {
--- a/src/policy/members.rs
+++ b/src/policy/members.rs
@@ -8,10 +8,10 @@
 impl Balancer {
     pub(super) fn members(&mut self, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Error {
-            self.list_clock.failed(self.rng.random(), self.now);
+            self.list_timer.failed(self.rng.random(), self.now);
             return;
         }
-        self.list_clock.told();
+        self.list_timer.told();
         if kind != ListKind::Partial {
             for replica in &mut self.replicas {
                 replica.listed = false;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,7 +10,7 @@
 pub use crate::fit::{Fit, Line};
 use crate::interface::*;
 use crate::kept::{Belief, Kept, Reason};
-use crate::list_clock::ListClock;
+use crate::list_timer::ListTimer;
 use crate::memory::{Recent, Ring};
 use crate::open::{Attempt, Phase, Request};
 use crate::replica::Replica;
@@ -62,7 +62,7 @@
     admission: Admission,
     means: Means,
     all_warm: Time,
-    list_clock: ListClock,
+    list_timer: ListTimer,
     timer: Option<Time>,
 }
 
@@ -77,7 +77,7 @@
         let admission = Admission::new(&set, now);
         let b = pace.min(admission.aim / 8.0);
         let start = Line { a: per_1000.max(b / 8.0) / 1000.0, b };
-        let list_clock = ListClock::new(&set, rng.random(), now);
+        let list_timer = ListTimer::new(&set, rng.random(), now);
         Balancer {
             rng,
             now,
@@ -101,7 +101,7 @@
             admission,
             means: Means::default(),
             all_warm: now,
-            list_clock,
+            list_timer,
             timer: None,
             set,
         }
@@ -124,7 +124,7 @@
         for event in events {
             self.take(event, out);
         }
-        if self.list_clock.due(now) {
+        if self.list_timer.due(now) {
             out.push(Action::Watch);
         }
         self.release(out);
@@ -150,7 +150,7 @@
         let soon = Dur::from_secs((self.pace / 2.0).min(ASK_PART * self.admission.aim));
         let soon = head.filter(|_| !self.mature.is_empty()).map(|_| self.now + soon);
         let next =
-            [self.list_clock.next(), soon, head.map(|h| h.0), later.filter(|_| head.is_some()).map(|l| l.0)];
+            [self.list_timer.next(), soon, head.map(|h| h.0), later.filter(|_| head.is_some()).map(|l| l.0)];
         let at = next.into_iter().flatten().min();
         let Some(at) = at.map(|t| t.max(self.now + self.set.period)) else { return };
         if self.timer.is_none_or(|t| t > at) {
--- a/src/traces.rs
+++ b/src/request_ids.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// An `X-Trace-Id` holds so much at most.
-const MAX_TRACE: usize = 128;
+const MAX_LENGTH: usize = 128;
 /// Ids of ended requests that are remembered.
 const ENDED: usize = 1024;
 
@@ -16,17 +16,17 @@
 
 /// The ids of open requests and of those ended lately; copies share them.
 #[derive(Clone, Default)]
-pub struct Traces(Arc<Mutex<Known>>);
+pub struct RequestIds(Arc<Mutex<Known>>);
 
 /// An id held for an open request.
-pub struct Trace {
+pub struct HeldId {
     id: Arc<str>,
-    traces: Traces,
+    request_ids: RequestIds,
     /// Remembered after its end: a model server may have seen it.
     remembered: bool,
 }
 
-impl Traces {
+impl RequestIds {
     fn known(&self) -> MutexGuard<'_, Known> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -34,13 +34,17 @@
     /// Takes an id; none if it is taken. Guards against a client that uses the id of another's open request: the
     /// two could not be told apart at a model server. Ids are fresh on every request, so one that ended a moment
     /// ago is no better.
-    pub fn take(&self, id: &str) -> Option<Trace> {
+    pub fn take(&self, id: &str) -> Option<HeldId> {
         let id: Arc<str> = id.into();
-        self.known().known.insert(id.clone()).then(|| Trace { id, traces: self.clone(), remembered: true })
+        self.known().known.insert(id.clone()).then(|| HeldId {
+            id,
+            request_ids: self.clone(),
+            remembered: true,
+        })
     }
 }
 
-impl Trace {
+impl HeldId {
     /// The id.
     pub fn id(&self) -> &str {
         &self.id
@@ -52,23 +56,23 @@
     }
 }
 
-impl Drop for Trace {
+impl Drop for HeldId {
     fn drop(&mut self) {
-        let mut traces = self.traces.known();
+        let mut request_ids = self.request_ids.known();
         if !self.remembered {
-            traces.known.remove(&self.id);
+            request_ids.known.remove(&self.id);
             return;
         }
-        traces.ended.push_back(self.id.clone());
-        if traces.ended.len() > ENDED
-            && let Some(oldest) = traces.ended.pop_front()
+        request_ids.ended.push_back(self.id.clone());
+        if request_ids.ended.len() > ENDED
+            && let Some(oldest) = request_ids.ended.pop_front()
         {
-            traces.known.remove(&oldest);
+            request_ids.known.remove(&oldest);
         }
     }
 }
 
 /// Whether a text can be an id.
-pub fn is_trace(id: &str) -> bool {
-    (1..=MAX_TRACE).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic())
+pub fn is_request_id(id: &str) -> bool {
+    (1..=MAX_LENGTH).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic())
 }
--- /dev/null
+++ b/tests/common/client.rs
@@ -0,0 +1,74 @@
+//! A client of a router under test.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use serde_json::Value;
+use stilespan::net::http::{Body, Buffer, Head, read_answer_head};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+/// A client's connection.
+pub struct Client {
+    pub stream: TcpStream,
+    pub buffer: Buffer,
+}
+
+/// An answer as the client got it.
+#[derive(Debug)]
+pub struct Got {
+    pub head: Head,
+    pub body: String,
+    /// It came to its proper end.
+    pub whole: bool,
+}
+
+impl Got {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|e| panic!("{e}: {self:?}"))
+    }
+}
+
+impl Client {
+    pub async fn new(address: &str) -> Client {
+        Client { stream: TcpStream::connect(address).await.unwrap(), buffer: Buffer::default() }
+    }
+
+    pub async fn send(&mut self, text: &[u8]) {
+        self.stream.write_all(text).await.unwrap();
+    }
+
+    /// Reads an answer; none where the connection ends without one.
+    pub async fn answer(&mut self) -> Option<Got> {
+        let head = read_answer_head(&mut self.buffer, &mut self.stream).await.ok()?;
+        let mut body = Body::new(head.framing(true).unwrap());
+        let mut text = Vec::new();
+        let whole = loop {
+            match body.next(&mut self.buffer, &mut self.stream).await {
+                Ok(Some(bytes)) => text.extend_from_slice(&bytes),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        Some(Got { head, body: String::from_utf8_lossy(&text).into_owned(), whole })
+    }
+
+    /// Whether the router ends the connection over bytes that it has not read: the system resets it then. Waits for as
+    /// long as a router keeps such a connection.
+    pub async fn is_reset(&self) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < Duration::from_secs(8) {
+            if self.stream.take_error().unwrap().is_some() {
+                return true;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        false
+    }
+
+    pub async fn call(&mut self, text: &[u8]) -> Got {
+        self.send(text).await;
+        timeout(Duration::from_secs(20), self.answer()).await.expect("an answer in 20 s").expect("an answer")
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,9 +1,11 @@
 //! A gateway in miniature for tests: it keeps time and collects actions. It models no replica.
 #![allow(dead_code)]
 
+pub mod client;
 pub mod fleet;
 pub mod folder;
 pub mod peers;
+pub mod platform;
 pub mod scripted;
 pub mod small;
 pub mod world;
--- a/tests/common/peers.rs
+++ b/tests/common/peers.rs
@@ -1,21 +1,25 @@
 //! Scripted peers on loopback sockets: model servers, discovery and clients, and a router in the same thread.
 #![allow(dead_code)]
 
+pub use super::client::{Client, Got};
+#[allow(unused_imports)]
+pub use super::platform::{config, config_text, list};
+
 use std::path::Path;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::json;
 use stilespan::batch;
 use stilespan::config::Config;
-use stilespan::net::http::{Body, Buffer, Head, read_answer_head, request_head};
+use stilespan::net::http::{Body, Buffer, Head, request_head};
 use stilespan::router::{self, Plan};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// What a scripted peer does with a request, step by step.
 #[derive(Clone, Debug)]
@@ -166,38 +170,6 @@
     vec![Step::Write(format!("HTTP/1.1 {status}\r\n{extra}Content-Length: 2\r\n\r\nno"))]
 }
 
-pub fn list(revision: u64, complete: bool, hosts: &[(&str, &str, &str)]) -> Value {
-    let host = |(id, address, phase): &(&str, &str, &str)| {
-        json!({"id": id, "host_port": address, "locality": "cleveland", "flavor": "fast-card", "cell": 0,
-            "phase": phase, "size": 1.0, "up_since_ms": 0})
-    };
-    json!({"revision": revision, "complete": complete, "members": hosts.iter().map(host).collect::<Vec<_>>()})
-}
-
-/// A configuration, read.
-pub fn config(hosts: &[(&str, &str, &str)], discovery: Option<&str>) -> Config {
-    Config::parse(Path::new("test"), &config_text(hosts, discovery)).unwrap()
-}
-
-/// A configuration as the platform writes it.
-pub fn config_text(hosts: &[(&str, &str, &str)], discovery: Option<&str>) -> String {
-    let class = |name: &str, aim: f64, deadline: f64, worth: f64| {
-        json!({"name": name, "objective": aim, "deadline": deadline, "effect": "read_like", "streaming": true,
-            "credit": worth, "late-worth": 0.0})
-    };
-    let ask = if discovery.is_some() { "ask" } else { "push" };
-    let settings = json!({"n-instances": 1, "period": 0.002, "discovery": ask, "localities": ["cleveland", "toledo"],
-        "classes": [class("hint", 0.4, 1.5, 3.0), class("batch-mark", 3.0, 15.0, 1.0)],
-        "specifics": {"aim-us-per-1000-prompt-tokens": [60000.0, 30000.0], "token-aim": [0.06, 0.05], "resume": true},
-        "guarantees": {"drain-grace": 0.5, "fall": 1.5, "fall-multiple": 4.0, "must-ask-in": 0.4,
-            "start-capacity": 0.3, "warm-after": 8.9},
-        "limits": {"max-attempts": 3, "cancel": true, "conn-idle": 30.0, "connect-timeout": 0.25}});
-    json!({"name": "n0", "listen": "127.0.0.1:0", "admin": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": list(1, true, hosts),
-        "settings": settings})
-    .to_string()
-}
-
 /// A router under test.
 pub struct Router {
     pub platform: String,
@@ -240,70 +212,6 @@
     }
 }
 
-/// A client's connection.
-pub struct Client {
-    pub stream: TcpStream,
-    pub buffer: Buffer,
-}
-
-/// An answer as the client got it.
-#[derive(Debug)]
-pub struct Got {
-    pub head: Head,
-    pub body: String,
-    /// It came to its proper end.
-    pub whole: bool,
-}
-
-impl Got {
-    pub fn json(&self) -> Value {
-        serde_json::from_str(&self.body).unwrap_or_else(|e| panic!("{e}: {self:?}"))
-    }
-}
-
-impl Client {
-    pub async fn new(address: &str) -> Client {
-        Client { stream: TcpStream::connect(address).await.unwrap(), buffer: Buffer::default() }
-    }
-
-    pub async fn send(&mut self, text: &[u8]) {
-        self.stream.write_all(text).await.unwrap();
-    }
-
-    /// Reads an answer; none where the connection ends without one.
-    pub async fn answer(&mut self) -> Option<Got> {
-        let head = read_answer_head(&mut self.buffer, &mut self.stream).await.ok()?;
-        let mut body = Body::new(head.framing(true).unwrap());
-        let mut text = Vec::new();
-        let whole = loop {
-            match body.next(&mut self.buffer, &mut self.stream).await {
-                Ok(Some(bytes)) => text.extend_from_slice(&bytes),
-                Ok(None) => break true,
-                Err(_) => break false,
-            }
-        };
-        Some(Got { head, body: String::from_utf8_lossy(&text).into_owned(), whole })
-    }
-
-    /// Whether the router ends the connection over bytes that it has not read: the system resets it then. Waits for as
-    /// long as a router keeps such a connection.
-    pub async fn is_reset(&self) -> bool {
-        let start = Instant::now();
-        while start.elapsed() < Duration::from_secs(8) {
-            if self.stream.take_error().unwrap().is_some() {
-                return true;
-            }
-            sleep(Duration::from_millis(10)).await;
-        }
-        false
-    }
-
-    pub async fn call(&mut self, text: &[u8]) -> Got {
-        self.send(text).await;
-        timeout(Duration::from_secs(20), self.answer()).await.expect("an answer in 20 s").expect("an answer")
-    }
-}
-
 /// An id that no request has had.
 pub fn fresh_id() -> String {
     static LAST: AtomicUsize = AtomicUsize::new(0x9b1f_03aa);
--- a/tests/common/scripted.rs
+++ b/tests/common/scripted.rs
@@ -10,7 +10,7 @@
 
 pub type Opened = Arc<Mutex<Vec<(ReplicaId, mpsc::Receiver<Order>)>>>;
 
-/// Keeps the mailboxes of the subchannels that it was asked for.
+/// Keeps the mailboxes of the upstreams that it was asked for.
 pub struct Scripted(pub Opened);
 
 impl Connector for Scripted {
--- a/tests/common/small.rs
+++ b/tests/common/small.rs
@@ -32,7 +32,7 @@
     let text = config_text(&[("s-a", address, "SERVING")], None);
     let mut value: Value = serde_json::from_str(&text).unwrap();
     value["limits"]["memory_mb"] = 0.into();
-    // steps come as soon as there is mail: a request is decided on before anything else can be heard
+    // steps come as soon as there are messages: a request is decided on before anything else can be heard
     value["settings"]["period"] = 0.into();
     Config::parse(std::path::Path::new("small"), &value.to_string()).unwrap()
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -5,25 +5,25 @@
 use common::scripted::*;
 use rstest::rstest;
 use stilespan::core::actor::Core;
-use stilespan::core::{MAILBOX, Mail, Resolved};
+use stilespan::core::{MAILBOX, Message, Resolved};
 use stilespan::interface::{ListKind, ReplicaId, RequestId};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, timeout};
 
-/// An operator's order is carried out ahead of clients' mail, however much of it waits.
+/// An operator's order is carried out ahead of clients' messages, however many wait.
 #[tokio::test]
 async fn an_order_does_not_wait_behind_a_full_mailbox() {
     let (resolver, _asked) = mpsc::channel(4);
-    let (handle, mail) = Core::start(parts(Scripted(Opened::default()), resolver));
+    let (handle, messages) = Core::start(parts(Scripted(Opened::default()), resolver));
     let listed = Resolved { kind: ListKind::Persisted, hosts: vec![host(1, "127.0.0.1:1", 0)] };
-    mail.send(Mail::Resolved(listed)).await.unwrap();
+    messages.send(Message::Resolved(listed)).await.unwrap();
     while !handle.load().ready() {
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
-    while mail.try_send(Mail::Gone(RequestId(7))).is_ok() {}
+    while messages.try_send(Message::Gone(RequestId(7))).is_ok() {}
     let bans = handle.maintain(ReplicaId(1), "s-1", true, false).await.unwrap().expect("it is listed");
     assert_eq!((bans.len(), bans[0].back), (1, None));
-    assert!(mail.capacity() < MAILBOX / 2, "mail still waits: {}", mail.capacity());
+    assert!(messages.capacity() < MAILBOX / 2, "messages still waits: {}", messages.capacity());
     assert_eq!(handle.maintain(ReplicaId(2), "s-2", true, false).await.unwrap(), None);
     assert!(handle.maintain(ReplicaId(2), "s-2", true, true).await.unwrap().is_some());
 }
@@ -34,13 +34,13 @@
 #[case::restarted(7, true)]
 #[case::told_again(0, false)]
 #[tokio::test]
-async fn a_restarted_server_has_a_subchannel_of_its_own(#[case] started: u64, #[case] anew: bool) {
+async fn a_restarted_server_has_a_upstream_of_its_own(#[case] started: u64, #[case] anew: bool) {
     let opened = Opened::default();
     let (resolver, _asked) = mpsc::channel(4);
-    let (_handle, mail) = Core::start(parts(Scripted(opened.clone()), resolver));
+    let (_handle, messages) = Core::start(parts(Scripted(opened.clone()), resolver));
     for (kind, started) in [(ListKind::Complete, 0), (ListKind::Partial, started)] {
         let hosts = vec![host(1, "127.0.0.1:1", started)];
-        mail.send(Mail::Resolved(Resolved { kind, hosts })).await.unwrap();
+        messages.send(Message::Resolved(Resolved { kind, hosts })).await.unwrap();
     }
     tokio::time::sleep(Duration::from_millis(100)).await;
     let mut opened = std::mem::take(&mut *opened.lock().unwrap());
@@ -55,18 +55,18 @@
 #[case::another_address("127.0.0.1:2", 7, [false, false])]
 #[case::the_newer_stays("127.0.0.1:1", 7, [true, false])]
 #[tokio::test]
-async fn a_host_in_the_place_of_one_that_has_gone_ends_its_subchannel(
+async fn a_host_in_the_place_of_one_that_has_gone_ends_its_upstream(
     #[case] address: &str,
     #[case] started: u64,
     #[case] ended: [bool; 2],
 ) {
     let opened = Opened::default();
     let (resolver, _asked) = mpsc::channel(4);
-    let (_handle, mail) = Core::start(parts(Scripted(opened.clone()), resolver));
+    let (_handle, messages) = Core::start(parts(Scripted(opened.clone()), resolver));
     for (kind, host) in
         [(ListKind::Persisted, host(1, "127.0.0.1:1", 0)), (ListKind::Partial, host(2, address, started))]
     {
-        mail.send(Mail::Resolved(Resolved { kind, hosts: vec![host] })).await.unwrap();
+        messages.send(Message::Resolved(Resolved { kind, hosts: vec![host] })).await.unwrap();
     }
     while opened.lock().unwrap().len() < 2 {
         tokio::time::sleep(Duration::from_millis(5)).await;
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -8,17 +8,17 @@
 use common::scripted::*;
 use rstest::rstest;
 use stilespan::core::actor::{Core, Parts};
-use stilespan::core::{Answer, Attempt, Begin, Ending, Handle, Mail, Order, Resolved};
+use stilespan::core::{Answer, Attempt, Begin, Ending, Handle, Message, Order, Resolved};
 use stilespan::interface::{Class, Dur, Effect, ListKind, Outcome, ReplicaId, Settings, State};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, sleep, timeout};
 
 const SOON: Duration = Duration::from_secs(5);
 
-/// A core with so many hosts, and what their subchannels are ordered.
+/// A core with so many hosts, and what their upstreams are ordered.
 struct Running {
     handle: Handle,
-    mail: mpsc::Sender<Mail>,
+    messages: mpsc::Sender<Message>,
     opened: Opened,
     _asked: mpsc::Receiver<stilespan::core::ListOrder>,
 }
@@ -32,8 +32,8 @@
         begin_within: Duration::from_secs(20),
         ..parts(Scripted(opened.clone()), resolver)
     };
-    let (handle, mail) = Core::start(parts);
-    let running = Running { handle, mail, opened, _asked: asked };
+    let (handle, messages) = Core::start(parts);
+    let running = Running { handle, messages, opened, _asked: asked };
     running
         .list(ListKind::Complete, (1..=hosts).map(|id| host(id, &format!("127.0.0.1:{id}"), 0)).collect())
         .await;
@@ -45,7 +45,7 @@
 
 impl Running {
     async fn list(&self, kind: ListKind, hosts: Vec<stilespan::core::Host>) {
-        self.mail.send(Mail::Resolved(Resolved { kind, hosts })).await.unwrap();
+        self.messages.send(Message::Resolved(Resolved { kind, hosts })).await.unwrap();
     }
 
     /// The next attempt that is ordered, and where.
@@ -66,7 +66,7 @@
     }
 
     async fn ended(&self, attempt: &Attempt, outcome: Outcome) {
-        self.mail.send(Mail::Ended(attempt.id, Instant::now(), Ending::from(outcome))).await.unwrap();
+        self.messages.send(Message::Ended(attempt.id, Instant::now(), Ending::from(outcome))).await.unwrap();
     }
 }
 
@@ -150,7 +150,7 @@
 
 /// The process sleeps between an attempt's order and its first byte.
 #[tokio::test]
-async fn an_attempt_ordered_before_a_nap_is_not_begun_after_it() {
+async fn an_attempt_ordered_before_a_stall_is_not_begun_after_it() {
     // nothing else ends the attempt as it wakes
     let class = Class { aim: Dur(10_000_000), deadline: Dur(15_000_000), ..Class::default() };
     let core = running(1, class).await;
@@ -197,7 +197,7 @@
     if between {
         assert_eq!(attempt.start.begin(Instant::now()), Begin::Now);
         // the outcome and the news that the client has gone are taken in together
-        core.mail.try_send(Mail::Ended(attempt.id, Instant::now(), Outcome::Reset.into())).unwrap();
+        core.messages.try_send(Message::Ended(attempt.id, Instant::now(), Outcome::Reset.into())).unwrap();
         drop(ticket);
         if let Ok((_, late)) = timeout(Duration::from_millis(100), core.attempt()).await {
             sleep(Duration::from_millis(50)).await;
--- a/tests/naps.rs
+++ b/tests/stalls.rs
@@ -6,23 +6,23 @@
 
 use common::scripted::*;
 use stilespan::core::actor::{Core, Parts};
-use stilespan::core::{ListOrder, Mail, Order, Resolved};
+use stilespan::core::{ListOrder, Message, Order, Resolved};
 use stilespan::interface::{Class, ListKind, ReplicaId, Settings, State};
 use tokio::sync::mpsc;
 use tokio::time::{Duration, sleep, timeout};
 
-/// A core with two hosts, its mail, the list's orders and the hosts' mailboxes.
-async fn running() -> (stilespan::core::Handle, mpsc::Sender<Mail>, mpsc::Receiver<ListOrder>, Opened) {
+/// A core with two hosts, its messages, the list's orders and the hosts' mailboxes.
+async fn running() -> (stilespan::core::Handle, mpsc::Sender<Message>, mpsc::Receiver<ListOrder>, Opened) {
     let opened = Opened::default();
     let (resolver, asked) = mpsc::channel(4);
     let settings = Settings { classes: vec![Class::default()], ..Settings::default() };
-    let (handle, mail) = Core::start(Parts { settings, ..parts(Scripted(opened.clone()), resolver) });
+    let (handle, messages) = Core::start(Parts { settings, ..parts(Scripted(opened.clone()), resolver) });
     let hosts = vec![host(1, "127.0.0.1:1", 0), host(2, "127.0.0.1:2", 0)];
-    mail.send(Mail::Resolved(Resolved { kind: ListKind::Complete, hosts })).await.unwrap();
+    messages.send(Message::Resolved(Resolved { kind: ListKind::Complete, hosts })).await.unwrap();
     while opened.lock().unwrap().len() < 2 {
         sleep(Duration::from_millis(1)).await;
     }
-    (handle, mail, asked, opened)
+    (handle, messages, asked, opened)
 }
 
 /// What the list's actor is asked, soon.
@@ -43,7 +43,7 @@
 /// drained meanwhile.
 #[tokio::test]
 async fn what_waited_for_a_sleeper_goes_out_by_the_list_as_it_is_when_it_wakes() {
-    let (handle, mail, mut asked, opened) = running().await;
+    let (handle, messages, mut asked, opened) = running().await;
     let mut tickets = Vec::new();
     std::thread::sleep(Duration::from_millis(700));
     for _ in 0..8 {
@@ -55,7 +55,7 @@
     let mut drained = host(1, "127.0.0.1:1", 0);
     drained.entry.state = State::Terminating;
     let hosts = vec![drained, host(2, "127.0.0.1:2", 0)];
-    mail.send(Mail::Resolved(Resolved { kind: ListKind::Complete, hosts })).await.unwrap();
+    messages.send(Message::Resolved(Resolved { kind: ListKind::Complete, hosts })).await.unwrap();
     sleep(Duration::from_millis(100)).await;
     let sent = sent(&opened);
     assert!(sent[0].1 == 0 && sent[1].1 > 0, "{sent:?}");
@@ -65,13 +65,13 @@
 #[tokio::test]
 async fn a_sleeper_serves_on_where_the_list_cannot_be_had() {
     for told in [true, false] {
-        let (handle, mail, mut asked, opened) = running().await;
+        let (handle, messages, mut asked, opened) = running().await;
         std::thread::sleep(Duration::from_millis(700));
         let _ticket = handle.submit(rpc(5000)).await.expect("the core runs");
         assert_eq!(order(&mut asked).await, Some(ListOrder::Confirm));
         if told {
             let failed = Resolved { kind: ListKind::Error, hosts: Vec::new() };
-            mail.send(Mail::Resolved(failed)).await.unwrap();
+            messages.send(Message::Resolved(failed)).await.unwrap();
         }
         let woke = Instant::now();
         while sent(&opened).iter().all(|s| s.1 == 0) {
