Bad input beside a bystander, stage by stage; a flood can't keep the end from being noticed

Tests: tests/bad_input.rs, 19 cases: endless and silent heads and bodies, no HTTP, an open id, bytes behind a close, half a request at the end, and a client that closes or half closes at each stage; a bystander's requests are all answered in time beside each. Read again and mended: accepting looked for the end only where nothing was there to accept, so a flood could have held it up (by reading; no test forces it); a 408 read on behind the request that it answered; an id stayed taken after a failure that no server had seen.

--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -64,6 +64,7 @@
     let bad = loop {
         let done = match downstream.peer.next().await {
             Next::Request(head) => downstream.answer(&head).await,
+            Next::Bad(HttpError::Late) => Ok(Done::Bad(Reply::late(), Remainder::Nothing)),
             Next::Bad(e) => Err(e),
             Next::End => return downstream.peer.close(Remainder::Nothing).await,
             Next::Gone => return,
@@ -124,6 +125,7 @@
         let Arrived { body: bytes, room: _room, at } = match arrived {
             Err(HttpError::NoRoom) => return bad(Reply::refused("no room for the body"), body),
             Err(HttpError::BodyTooLarge) => return bad(Reply::too_large(), body),
+            Err(HttpError::Late) => return bad(Reply::late(), body),
             arrived => arrived?,
         };
         // guards against a length that cuts a body short, which a model server would take for a request
@@ -133,7 +135,7 @@
             return bad(Reply::new(400, "Bad Request", "the body is no JSON object"), body);
         }
         // taken only now that the request is here whole: one that never came whole is sent once more under its id
-        let Some(trace) = self.front.request_ids.take(id) else {
+        let Some(held_id) = self.front.request_ids.take(id) else {
             return bad(Reply::new(409, "Conflict", "X-Trace-Id is in use"), body);
         };
         self.peer.arrived();
@@ -169,13 +171,16 @@
             Answer::Refused { retry_in, sent, .. } => {
                 ticket.finish();
                 if !sent {
-                    trace.release();
+                    held_id.release();
                 }
                 let refused = Reply::refused("refused; trying again is harmless");
                 self.reply(&Reply { retry_in, ..refused }, close).await
             }
-            Answer::Failed { .. } => {
+            Answer::Failed { sent, .. } => {
                 ticket.finish();
+                if !sent {
+                    held_id.release();
+                }
                 self.reply(&Reply::new(502, "Bad Gateway", "failed"), close).await
             }
         }
--- a/src/net/downstream/reply.rs
+++ b/src/net/downstream/reply.rs
@@ -28,6 +28,11 @@
         Reply::new(503, "Service Unavailable", text)
     }
 
+    /// A request that had begun was not whole in time.
+    pub(super) fn late() -> Reply {
+        Reply::new(408, "Request Timeout", "Request Timeout")
+    }
+
     /// The body is over its limit.
     pub(super) fn too_large() -> Reply {
         Reply::new(413, "Content Too Large", "Content Too Large")
--- a/src/net/listener/mod.rs
+++ b/src/net/listener/mod.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Whether the program is to end and another process takes the connections.
+    fn is_handed_over(&self) -> bool {
+        *self.ending.borrow() && *self.succeeded.borrow()
+    }
+
     /// Whether so long has passed since the signal to end.
     fn ended(&self, long: Duration) -> bool {
         *self.ending.borrow() && self.since.get_or_init(Instant::now).elapsed() >= long
@@ -147,10 +152,9 @@
         connections.spawn(open(admitted));
         while connections.try_join_next().is_some() {}
     }
-    if !*shared.succeeded.borrow() {
-        while let Some(admitted) = accept_queued(&shared, &listener, queue_since).await {
-            connections.spawn(open(admitted));
-        }
+    while !shared.is_handed_over() && !shared.ended(LAST_CALL) {
+        let Some(admitted) = accept_queued(&shared, &listener, queue_since).await else { break };
+        connections.spawn(open(admitted));
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
@@ -180,6 +184,10 @@
 async fn accept(shared: &Shared, listener: &TcpListener, queue_since: &mut Instant) -> Option<Admitted> {
     let (mut ending, mut over) = (shared.clone(), shared.clone());
     loop {
+        // guards against a flood that keeps this from noticing the end
+        if shared.is_handed_over() || shared.ended(LAST_CALL) {
+            return None;
+        }
         if let Some(Ok((stream, _))) = listener.accept().now_or_never() {
             return admit(shared, stream, *queue_since).await;
         }
