A request waits for a connection's rest of 25 ms rather than open a new one

Change: the rest is 25 ms, and where no connection has rested the attempt waits for the one that will have first; what an earlier answer left behind comes meanwhile and ends it.

--- a/src/net/upstream/mod.rs
+++ b/src/net/upstream/mod.rs
@@ -35,7 +35,7 @@
 const IDLE_PART: f64 = 0.8;
 /// A connection is used again so long after its last answer at the soonest. Guards against a second answer of a server's
 /// that comes some milliseconds after the first, and would be taken for the next request's.
-const SETTLE: Duration = Duration::from_millis(50);
+const SETTLE: Duration = Duration::from_millis(25);
 /// Orders that wait for an upstream's actor at the most.
 const MAILBOX: usize = 1024;
 /// The kind of an answer that holds a stream of events.
--- a/src/net/upstream/pool.rs
+++ b/src/net/upstream/pool.rs
@@ -31,10 +31,10 @@
 }
 
 impl Pool {
-    /// The connection that was used last of those that have settled.
-    fn take_settled(&mut self, now: Instant) -> Option<Idle> {
+    /// The connection that was used last of those that have settled; where none has, the one that will have first.
+    fn take(&mut self, now: Instant) -> Option<Idle> {
         let settled = |idle: &Idle| now.saturating_duration_since(idle.since) >= SETTLE;
-        let at = self.idle.iter().rposition(settled)?;
+        let at = self.idle.iter().rposition(settled).unwrap_or(0);
         self.idle.remove(at)
     }
 }
@@ -63,7 +63,9 @@
     /// A connection of the pool, or a new one.
     pub(super) async fn connect(&self) -> Option<Connection> {
         loop {
-            let Some(idle) = self.pool().take_settled(Instant::now()) else { break };
+            let Some(idle) = self.pool().take(Instant::now()) else { break };
+            // what its last request left behind comes meanwhile, and ends it
+            tokio::time::sleep_until((idle.since + SETTLE).into()).await;
             let _ = idle.wanted.send(());
             if let Ok(Some(connection)) = idle.watch.await {
                 return Some(connection);
