--- /dev/null
+++ b/tests/clients.rs
@@ -0,0 +1,215 @@
+//! The clients' side of the platform's front over loopback sockets: what is no request, who makes room, who is heard of when.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use common::peers::*;
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::time::{Instant, sleep, timeout};
+
+const POST: &str = "POST /v1/chat/completions HTTP/1.1\r\nX-Trace-Id: 7\r\nX-Qos: hint\r\n";
+
+#[rstest]
+#[case::no_http("\u{1}\u{2}garbage\r\n\r\n".into(), 400)]
+#[case::no_id(format!("{}Content-Length: 0\r\n\r\n", POST.replace("X-Trace-Id: 7\r\n", "")), 400)]
+#[case::deadline(String::from_utf8(request("hint", 100, "")).unwrap().replace("Ms: 100", "Ms: soon"), 400)]
+#[case::cut_short(String::from_utf8(request("hint", 1000, "")).unwrap().replace("Length: 9", "Length: 4"), 400)]
+#[case::class(String::from_utf8(request("nobody", 100, "")).unwrap(), 400)]
+#[case::props(format!("{POST}X-Props: prompt_len=many\r\nContent-Length: 0\r\n\r\n"), 400)]
+#[case::negative(format!("{POST}Content-Length: -1\r\n\r\n"), 400)]
+#[case::two_lengths(format!("{POST}Content-Length: 2\r\nContent-Length: 3\r\n\r\nab"), 400)]
+#[case::both(format!("{POST}Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 400)]
+#[case::chunk(format!("{POST}Transfer-Encoding: chunked\r\n\r\nzz\r\n"), 400)]
+#[case::body(format!("{POST}Content-Length: 262145\r\n\r\n"), 413)]
+#[case::chunked_body(format!("{POST}Transfer-Encoding: chunked\r\n\r\n50000\r\n{}", "a".repeat(0x50000)), 413)]
+#[case::head(format!("{POST}X-Long: {}\r\n", "a".repeat(40 << 10)), 431)]
+#[tokio::test]
+async fn what_is_no_request_gets_a_4xx_and_the_connection_ends(#[case] text: String, #[case] status: u16) {
+    let server = peer(|_, _, _| answer("x")).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut client = Client::new(&router.platform).await;
+    let got = client.call(text.as_bytes()).await;
+    assert_eq!((got.head.status, got.head.get("connection")), (status, Some("close")));
+    assert!(client.answer().await.is_none());
+    assert_eq!(ask(&router.platform, "hint", 1000).await.head.status, 200);
+}
+
+/// What the module has given up on is answered at once, with its word on when to come back.
+#[tokio::test]
+async fn a_refusal_comes_at_once_and_says_when_to_come_back() {
+    let server = peer(|_, _, _| plain("500 Oops", "")).await;
+    let mut config = config(&[("s-a", &server.address, "SERVING")], None);
+    (config.settings.retry_after, config.settings.max_retry_after) =
+        (true, stilespan::interface::Dur(2_000_000));
+    let router = route(config).await;
+    let mut last = None;
+    for _ in 0..6 {
+        last = Some(ask(&router.platform, "hint", 1500).await);
+    }
+    let start = Instant::now();
+    let got = last.unwrap();
+    assert_eq!(got.head.status, 503);
+    let wait: f64 = got.head.get("retry-after").expect("Retry-After").parse().unwrap();
+    assert!(wait > 0.0 && wait <= 2.0, "{wait}");
+    assert_eq!(ask(&router.platform, "hint", 1500).await.head.status, 503);
+    assert!(start.elapsed() < Duration::from_secs(1), "held back for {:?}", start.elapsed());
+}
+
+/// Where sockets run out, idle channels make room; one with something unanswered on it never does.
+#[tokio::test]
+async fn idle_channels_make_room_and_busy_ones_stay() {
+    let server = peer(|_, _, _| [vec![Step::Gate], answer("x")].concat()).await;
+    let mut config = config(&[("s-a", &server.address, "SERVING")], None);
+    config.sockets = 48; // four for clients, four for servers
+    let router = route(config).await;
+    let mut busy = Client::new(&router.platform).await;
+    busy.send(&request("batch-mark", 10_000, "")).await;
+    until("the request is there", || server.requests() == 1).await;
+    let mut idle = Vec::new();
+    for _ in 0..20 {
+        let mut client = Client::new(&router.platform).await;
+        assert_eq!(client.call(b"GET /_health HTTP/1.1\r\n\r\n").await.head.status, 200);
+        idle.push(client);
+    }
+    server.gate.add_permits(1);
+    assert_eq!(busy.answer().await.unwrap().head.status, 200);
+}
+
+/// A client that reads nothing holds up its own stream, and no other's.
+#[tokio::test]
+async fn a_slow_client_stalls_no_other() {
+    let endless = Arc::new(AtomicBool::new(true));
+    let flag = endless.clone();
+    let server = peer(move |_, _, _| {
+        if flag.swap(false, Ordering::SeqCst) {
+            let big = chunk(&event(&"x".repeat(60_000)));
+            let mut steps = vec![Step::Write(STREAM.into())];
+            steps.extend((0..400).map(|_| Step::Write(big.clone())));
+            steps.push(Step::Write(LAST.into()));
+            steps
+        } else {
+            answer("quick")
+        }
+    })
+    .await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut slow = Client::new(&router.platform).await;
+    slow.send(&request("batch-mark", 10_000, "")).await;
+    until("the long answer has begun", || server.requests() == 1).await;
+    for _ in 0..5 {
+        assert_eq!(ask(&router.platform, "batch-mark", 5000).await.head.status, 200);
+    }
+    // and when it reads at last it has everything
+    let got = slow.answer().await.unwrap();
+    assert_eq!((got.whole, got.body.len()), (true, 400 * event(&"x".repeat(60_000)).len()));
+}
+
+/// Clients that say nothing, or never finish, in numbers: each is answered or closed in time, and none of them
+/// keeps a request out.
+#[rstest]
+#[case::silent("")]
+#[case::half("POST /v1/chat/completions HTTP/1.1\r\nX-Qos: hint\r\n")]
+#[case::half_a_body(
+    "POST /v1/chat/completions HTTP/1.1\r\nX-Qos: hint\r\nX-Trace-Id: ID\r\nContent-Length: 99\r\n\r\n{"
+)]
+#[tokio::test]
+async fn clients_that_never_finish_are_closed_in_time_and_keep_nobody_out(#[case] text: &str) {
+    let server = peer(|_, _, _| answer("x")).await;
+    let mut config = config(&[("s-a", &server.address, "SERVING")], None);
+    config.sockets = 72; // sixteen for clients
+    let router = route(config).await;
+    let mut bad = Vec::new();
+    for _ in 0..60 {
+        let mut client = Client::new(&router.platform).await;
+        // one that has been closed by now can't be written to
+        let _ = client.stream.write_all(text.replace("ID", &fresh_id()).as_bytes()).await;
+        bad.push(client);
+    }
+    assert_eq!(ask(&router.platform, "hint", 1000).await.head.status, 200);
+    let all = async {
+        for client in &mut bad {
+            assert!(client.answer().await.is_none_or(|got| got.head.status == 408));
+        }
+    };
+    timeout(Duration::from_secs(8), all).await.expect("all closed");
+}
+
+/// The servers' share of sockets is not the clients' to take, and idle ones make room one by one.
+#[tokio::test]
+async fn busy_clients_leave_sockets_for_the_servers() {
+    let server = peer(|_, _, _| {
+        let begun = Step::Write(format!("{STREAM}{}", chunk(&event("x"))));
+        vec![begun, Step::Gate, Step::Free, Step::Write(LAST.into())]
+    })
+    .await;
+    let mut config = config(&[("s-a", &server.address, "SERVING")], None);
+    config.sockets = 48; // four for clients, four for servers
+    let router = route(config).await;
+    let mut busy = Vec::new();
+    for n in 1..=4 {
+        let mut client = Client::new(&router.platform).await;
+        client.send(&request("batch-mark", 10_000, "")).await;
+        until("the request is there", || server.requests() == n).await;
+        busy.push(client);
+    }
+    server.gate.add_permits(1);
+    for client in &mut busy {
+        assert_eq!(client.answer().await.unwrap().head.status, 200);
+    }
+}
+
+#[tokio::test]
+async fn the_id_of_an_open_request_is_not_sent_twice() {
+    let server = peer(|_, _, _| [vec![Step::Gate], answer("x")].concat()).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut first = Client::new(&router.platform).await;
+    first.send(&request_of("7f", "batch-mark", 10_000, "")).await;
+    until("the request is there", || server.requests() == 1).await;
+    let twice = request_of("7f", "hint", 1000, "");
+    assert_eq!(Client::new(&router.platform).await.call(&twice).await.head.status, 409);
+    server.gate.add_permits(1);
+    assert_eq!(first.answer().await.unwrap().head.status, 200);
+    assert_eq!(server.requests(), 1);
+}
+
+/// A sender of far more than is taken gets to read why, however long it goes on.
+#[tokio::test]
+async fn a_client_that_sends_on_after_its_answer_can_read_it() {
+    let router = route(config(&[], None)).await;
+    let client = Client::new(&router.platform).await;
+    let (mut read, mut write) = client.stream.into_split();
+    let sender = tokio::spawn(async move {
+        let head = "POST /v1/chat/completions HTTP/1.1\r\nX-Qos: hint\r\nContent-Length: 16000000\r\n\r\n";
+        let _ = write.write_all(head.as_bytes()).await;
+        let part = vec![b'a'; 100_000];
+        for _ in 0..160 {
+            if write.write_all(&part).await.is_err() {
+                return false;
+            }
+            sleep(Duration::from_millis(2)).await;
+        }
+        true
+    });
+    assert!(sender.await.unwrap(), "the connection broke under the sender");
+    let mut text = String::new();
+    tokio::io::AsyncReadExt::read_to_string(&mut read, &mut text).await.unwrap();
+    assert!(text.starts_with("HTTP/1.1 413 "), "{text}");
+}
+
+/// A client that writes ahead more than is read, and goes, takes its attempt along all the same.
+#[tokio::test]
+async fn a_client_that_wrote_far_ahead_is_seen_to_go() {
+    let server = peer(|_, _, _| vec![Step::Hang]).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut client = Client::new(&router.platform).await;
+    client.send(&request("batch-mark", 10_000, "")).await;
+    until("the request is there", || server.requests() == 1).await;
+    client.send(&vec![b'a'; 100_000]).await;
+    sleep(Duration::from_millis(50)).await;
+    drop(client);
+    until("the attempt is called off", || server.dropped.load(Ordering::SeqCst) == 1).await;
+}
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod check_tests;
 mod clients;
+mod moves;
 mod play;
 mod record;
 mod servers;
