--- a/src/net/listener/mod.rs
+++ b/src/net/listener/mod.rs
@@ -244,3 +244,6 @@
 {
     move |peer| run(front.clone(), peer)
 }
+
+#[cfg(test)]
+mod tests;
