Metrics and a log line for late answers, waits and closes of clients' connections

Cause: two reports of late answers could not be explained, as no wait, close or error answer was logged or counted.

Ruled out so far: nothing; this commit changes no behaviour.

--- /dev/null
+++ b/src/net/downstream/answer_timing.rs
@@ -0,0 +1,50 @@
+//! When a request was received, read and decided on, and how late its answer is.
+
+use std::time::{Duration, Instant};
+
+use tracing::warn;
+
+use crate::log_limit::LogLimit;
+use crate::ops::metrics::{ClientMetrics, RequestOutcome};
+
+static LATE_ANSWER_LOG: LogLimit = LogLimit::new();
+
+/// The times of a request whose answer is due.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AnswerTiming {
+    /// The earliest instant at which its last byte may have arrived.
+    pub(super) received_at: Instant,
+    /// When it had been read.
+    pub(super) read_at: Instant,
+    /// How long its client waits, from `received_at`.
+    pub(super) timeout: Duration,
+}
+
+impl AnswerTiming {
+    /// Records an answer that was decided on at `decided_at` and has begun to be written now.
+    pub(super) fn record(
+        &self,
+        metrics: &ClientMetrics,
+        outcome: RequestOutcome,
+        decided_at: Instant,
+    ) {
+        let now = Instant::now();
+        let late = now.saturating_duration_since(self.received_at + self.timeout);
+        if late.is_zero() {
+            return;
+        }
+        metrics.record_late_answer(outcome, late.as_secs_f64());
+        if let Some(omitted) = LATE_ANSWER_LOG.admit(now) {
+            let milliseconds =
+                |from: Instant, to: Instant| to.saturating_duration_since(from).as_millis();
+            warn!(
+                "answer {} ms late ({outcome:?}, deadline {} ms): unread for {} ms, decided after {} ms, written after {} ms{omitted}",
+                late.as_millis(),
+                self.timeout.as_millis(),
+                milliseconds(self.received_at, self.read_at),
+                milliseconds(self.read_at, decided_at),
+                milliseconds(decided_at, now),
+            );
+        }
+    }
+}
--- a/src/net/downstream/forwarding.rs
+++ b/src/net/downstream/forwarding.rs
@@ -1,10 +1,11 @@
 //! Forwards a client's request to the core, and relays the answer.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::de::IgnoredAny;
 use tokio::sync::mpsc;
 
+use super::answer_timing::AnswerTiming;
 use super::reply::{RelayEnd, Reply};
 use super::request_head::RequestHead;
 use super::{NextStep, Persistence, RequestError, Session};
@@ -12,6 +13,7 @@
 use crate::net::http::{Body, Head, HttpError, MAX_BODY_BYTES, is_safe_header_value};
 use crate::net::listener::{ReceivedBody, RequestOutcome};
 use crate::net::upstream::UpstreamRequest;
+use crate::ops::metrics::RequestOutcome as Outcome;
 use crate::request_ids::RequestIdGuard;
 
 impl Session {
@@ -95,6 +97,11 @@
         if self.connection.has_disconnected() {
             return Ok(self.client_disconnected());
         }
+        let timing = AnswerTiming {
+            received_at: request.attributes.received_at,
+            read_at: Instant::now(),
+            timeout: request.attributes.timeout,
+        };
         let Ok(mut pending) = self.context.core.submit(request).await else {
             let reply = Reply::unavailable("the router is ending");
             return self.reply(&reply, Persistence::Close).await;
@@ -105,8 +112,13 @@
             // dropping the pending notifies the core
             () = self.connection.wait_for_disconnect() => return Ok(self.client_disconnected()),
         };
+        let decided_at = Instant::now();
         match answer {
-            Answer::Started(chunks) => self.answer_stream(chunks, pending, persistence).await,
+            Answer::Started(chunks) => {
+                let metrics = self.connection.metrics();
+                timing.record(metrics.clients(), Outcome::Completed, decided_at);
+                self.answer_stream(chunks, pending, persistence).await
+            }
             Answer::Rejected {
                 retry_after,
                 forwarded,
@@ -120,7 +132,10 @@
                     retry_after,
                     ..Reply::unavailable("refused; trying again is harmless")
                 };
-                self.reply(&reply, persistence).await
+                let step = self.reply(&reply, persistence).await;
+                let metrics = self.connection.metrics();
+                timing.record(metrics.clients(), Outcome::Rejected, decided_at);
+                step
             }
             Answer::Failed { forwarded, .. } => {
                 pending.complete();
@@ -128,7 +143,10 @@
                     id_guard.release();
                 }
                 let reply = Reply::new(502, "Bad Gateway", "failed");
-                self.reply(&reply, persistence).await
+                let step = self.reply(&reply, persistence).await;
+                let metrics = self.connection.metrics();
+                timing.record(metrics.clients(), Outcome::Failed, decided_at);
+                step
             }
         }
     }
--- a/src/net/downstream/mod.rs
+++ b/src/net/downstream/mod.rs
@@ -4,6 +4,7 @@
 //! nothing: which model server, whether to retry and what to reject is up to the core and its
 //! policy.
 
+mod answer_timing;
 mod forwarding;
 mod reply;
 mod request_head;
--- a/src/net/downstream/reply.rs
+++ b/src/net/downstream/reply.rs
@@ -10,6 +10,9 @@
 use crate::core::Chunk;
 use crate::net::http::{HttpError, LAST_CHUNK, put_chunk};
 
+/// The lowest status of an answer that is an error.
+const FIRST_ERROR_STATUS: u16 = 400;
+
 /// An answer of plain text.
 #[derive(Debug, PartialEq)]
 pub(super) struct Reply {
@@ -122,6 +125,10 @@
         persistence: Persistence,
     ) -> Result<NextStep, RequestError> {
         let persistence = self.persistence(persistence);
+        if reply.status >= FIRST_ERROR_STATUS {
+            let metrics = self.connection.metrics().clients();
+            metrics.record_error_answer(reply.status, &reply.text);
+        }
         let message = reply.encode(persistence);
         self.connection.write_last(message.as_bytes()).await?;
         Ok(persistence.into())
--- a/src/net/listener/acceptor.rs
+++ b/src/net/listener/acceptor.rs
@@ -132,7 +132,10 @@
             permit = self.context.connection_limit.acquire() => permit,
             () = shutdown.wait_after_shutdown_signal(REQUEST_CUTOFF_AFTER_SHUTDOWN) => None,
         };
-        permit.map(|permit| AcceptedConnection {
+        let permit = permit?;
+        let waited = self.queue_empty_at.elapsed().as_secs_f64();
+        self.context.metrics.clients().record_accept_wait(waited);
+        Some(AcceptedConnection {
             stream,
             permit,
             unread_since: self.queue_empty_at,
--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -81,11 +81,14 @@
     /// The earliest instant at which the bytes that were read last may have arrived. Bytes behind
     /// them may be waiting in the system since then.
     fn mark_end_of_request(&mut self) -> Instant {
-        let earliest = self.context.heartbeat.earliest_arrival(Instant::now());
+        let now = Instant::now();
+        let earliest = self.context.heartbeat.earliest_arrival(now);
         let received_at = self
             .unread_since
             .map_or(earliest, |since| since.min(earliest));
         self.unread_since = Some(received_at);
+        let unread = now.saturating_duration_since(received_at).as_secs_f64();
+        self.context.metrics.clients().record_unread(unread);
         received_at
     }
 
--- a/src/net/listener/client_connection.rs
+++ b/src/net/listener/client_connection.rs
@@ -16,6 +16,7 @@
 use super::time_limits::{ClientTimeouts, WRITE_TIMEOUT};
 use crate::net::connection_limit::ConnectionPermit;
 use crate::net::http::{Buffer, Head, HttpError};
+use crate::ops::metrics::{ConnectionEnd, Metrics};
 
 /// A client's connection.
 pub struct ClientConnection {
@@ -65,6 +66,11 @@
         self.is_shutting_down() || self.context.is_drained()
     }
 
+    /// Counts connections and late answers.
+    pub fn metrics(&self) -> &Metrics {
+        &self.context.metrics
+    }
+
     /// A way to check from elsewhere whether the client is still connected.
     pub fn presence(&self) -> Arc<ClientPresence> {
         Arc::new(self.socket.presence())
@@ -98,10 +104,11 @@
     /// Writes to the client. Fails if it accepts nothing for too long: it would occupy a model
     /// server's stream for ever.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
-        timeout(WRITE_TIMEOUT, self.socket.write_all(bytes))
-            .await
-            .map_err(|_| HttpError::ConnectionClosed)??;
-        Ok(())
+        let Ok(written) = timeout(WRITE_TIMEOUT, self.socket.write_all(bytes)).await else {
+            self.record_end(ConnectionEnd::Stalled);
+            return Err(HttpError::ConnectionClosed);
+        };
+        Ok(written?)
     }
 
     /// Writes the last bytes of an answer. A client that waits for it writes its next request later
--- a/src/net/listener/context.rs
+++ b/src/net/listener/context.rs
@@ -13,6 +13,7 @@
 use super::time_limits::MAX_SCHEDULING_DELAY;
 use crate::lifecycle::DrainingSince;
 use crate::net::connection_limit::ConnectionLimit;
+use crate::ops::metrics::Metrics;
 
 /// When the shutdown signal came, as exactly as this process can tell.
 #[derive(Clone, Copy, Debug)]
@@ -49,6 +50,8 @@
     pub drained: watch::Receiver<DrainingSince>,
     /// Notices when the process was not scheduled.
     pub heartbeat: Arc<Heartbeat>,
+    /// Counts connections and late answers.
+    pub metrics: Arc<Metrics>,
 }
 
 impl ListenerContext {
--- a/src/net/listener/receiving.rs
+++ b/src/net/listener/receiving.rs
@@ -14,6 +14,7 @@
 use crate::net::connection_limit::IdleConnection;
 use crate::net::http::{self, Buffer, Head, HttpError};
 use crate::net::stream::StreamState;
+use crate::ops::metrics::ConnectionEnd;
 
 /// A request that arrives. Its connection may be evicted.
 pub(super) struct IncomingRequest {
@@ -88,20 +89,32 @@
         let end = tokio::select! {
             biased;
             () = shutdown.wait_after_shutdown_signal(REQUEST_CUTOFF_AFTER_SHUTDOWN) => {
+                self.record_end(ConnectionEnd::Shutdown);
                 return Err(NextRequest::Close);
             }
             readable = self.socket.readable() => {
                 return if readable { Ok(()) } else { Err(NextRequest::Drop) };
             }
-            () = idle.evicted() => NextRequest::Drop,
-            () = drain.wait_after_drain(opened_at, IDLE_CLOSE_AFTER_DRAIN) => NextRequest::Close,
-            () = tokio::time::sleep_until(idle_deadline.into()) => NextRequest::Close,
+            () = idle.evicted() => (NextRequest::Drop, ConnectionEnd::Evicted),
+            () = drain.wait_after_drain(opened_at, IDLE_CLOSE_AFTER_DRAIN) => {
+                (NextRequest::Close, ConnectionEnd::Drained)
+            }
+            () = tokio::time::sleep_until(idle_deadline.into()) => {
+                (NextRequest::Close, ConnectionEnd::Idle)
+            }
         };
         if self.socket.state() == StreamState::Readable {
             idle.decline_eviction();
             return Ok(());
         }
-        Err(end)
+        let (next, reason) = end;
+        self.record_end(reason);
+        Err(next)
+    }
+
+    /// Counts why the router ends this connection.
+    pub(super) fn record_end(&self, end: ConnectionEnd) {
+        self.context.metrics.clients().record_connection_end(end);
     }
 
     /// Reads more of an incoming request, and nothing behind it. Cancel safe.
@@ -142,6 +155,12 @@
             };
             // bytes may have arrived before the end that the runtime has not been notified of
             if self.socket.state() != StreamState::Readable {
+                if matches!(end, HttpError::ConnectionClosed) {
+                    self.context
+                        .metrics
+                        .clients()
+                        .record_connection_end(ConnectionEnd::EvictedReceiving);
+                }
                 return Err(end);
             }
             idle.decline_eviction();
--- a/src/net/listener/tests.rs
+++ b/src/net/listener/tests.rs
@@ -11,6 +11,7 @@
 use super::acceptor::Accept;
 use super::*;
 use crate::net::connection_limit::ConnectionLimit;
+use crate::ops::metrics::Metrics;
 
 /// A listening socket whose calls fail with these errors, one each, before they come to the system.
 struct FailingListener {
@@ -64,6 +65,7 @@
         replaced: watch::channel(false).1,
         drained: watch::channel(None).1,
         heartbeat: Arc::new(Heartbeat::new(Instant::now())),
+        metrics: Arc::new(Metrics::new(&[])),
     }
 }
 
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -1,11 +1,15 @@
 //! The router's metrics. Callers update them directly, without a message to an actor; the
 //! operators' address serves their text.
 
+mod client_side;
+
 use std::sync::Arc;
 
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use tracing::warn;
 
+pub use client_side::{ClientMetrics, ConnectionEnd};
+
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestOutcome {
@@ -23,6 +27,13 @@
 /// them.
 const OUTCOME_LABELS: [&str; 4] = ["answered", "deferred", "errored", "gone"];
 
+impl RequestOutcome {
+    /// The outcome's label.
+    fn label(self) -> &'static str {
+        OUTCOME_LABELS[self as usize]
+    }
+}
+
 /// A router's metrics, from 0 at its start. The text format, its escaping and its families are the
 /// `prometheus` crate's; its sibling `prometheus-client` adds `_total` to counters' names, which
 /// the operators' interface fixes without it.
@@ -37,6 +48,7 @@
     avoided_servers: IntGauge,
     drained: IntGauge,
     succeeded: IntGauge,
+    clients: ClientMetrics,
 }
 
 impl Metrics {
@@ -77,6 +89,7 @@
                 "router_succeeded",
                 "1 once a successor process has taken over.",
             )?,
+            clients: ClientMetrics::register(&registry)?,
             registry,
         })
     }
@@ -91,6 +104,11 @@
         }
     }
 
+    /// The metrics of clients' connections.
+    pub fn clients(&self) -> &ClientMetrics {
+        &self.clients
+    }
+
     /// Counts an attempt that was completely written to a model server.
     pub fn record_attempt_sent(&self) {
         self.attempts_sent.inc();
--- a/src/router/open/actors.rs
+++ b/src/router/open/actors.rs
@@ -50,6 +50,7 @@
         config: &mut Config,
         start: &mut StartState,
         limits: &LimitShares,
+        metrics: Arc<Metrics>,
         drain: watch::Sender<DrainingSince>,
         edge_file: Option<EdgeFile>,
         inventory: Option<PathBuf>,
@@ -64,6 +65,7 @@
             server_sockets.clone(),
             discovery.clone(),
             &start.maintenance,
+            metrics,
         );
         let lifecycle = start.start_lifecycle(core.clone(), drain);
         let (edge, messages) = match edge_file {
@@ -121,8 +123,8 @@
     server_sockets: ConnectionLimit,
     discovery: mpsc::Sender<DiscoveryCommand>,
     maintenance: &MaintenanceState,
+    metrics: Arc<Metrics>,
 ) -> StartedCore {
-    let metrics = Arc::new(Metrics::new(&config.classes));
     let connector = upstream::TcpConnector {
         options: upstream::Options {
             connect_timeout: config.connect_timeout,
--- a/src/router/open/listeners.rs
+++ b/src/router/open/listeners.rs
@@ -12,6 +12,7 @@
 use crate::lifecycle::DrainingSince;
 use crate::net::handover::{LimitShares, Rendezvous};
 use crate::net::listener::{Heartbeat, ListenerContext};
+use crate::ops::metrics::Metrics;
 use crate::router::InheritedListener;
 
 /// The addresses of the platform's clients and of operators, and where other processes of the
@@ -80,6 +81,7 @@
     drain: &watch::Sender<DrainingSince>,
     successor_serving: &watch::Sender<bool>,
     shutdown: watch::Receiver<bool>,
+    metrics: Arc<Metrics>,
 ) -> ListenerContext {
     ListenerContext {
         connection_limit: limits.client_sockets.clone(),
@@ -88,5 +90,6 @@
         replaced: successor_serving.subscribe(),
         drained: drain.subscribe(),
         heartbeat: Arc::new(Heartbeat::new(Instant::now())),
+        metrics,
     }
 }
--- a/src/router/open/mod.rs
+++ b/src/router/open/mod.rs
@@ -26,6 +26,7 @@
 
 use super::{AdminFront, PlatformFront, Router, RouterOptions};
 use crate::error::RunError;
+use crate::ops::metrics::Metrics;
 use crate::request_ids::RequestIds;
 
 use actors::Actors;
@@ -52,18 +53,25 @@
     let limits = Arc::new(start.limit_shares(&config));
     let drain = watch::Sender::new(None);
     let successor_serving = watch::Sender::new(false);
-    let listener_context =
-        listeners::listener_context(&limits, &drain, &successor_serving, shutdown);
     let inventory = inventory.or_else(|| batch.as_ref().and_then(|b| b.inventory.clone()));
     if inventory.is_some() {
         // the file's changes are noticed here, so the decision module need not poll
         config.settings.endpoints_on_request = false;
     }
     let edge_file = EdgeFile::load(edge, &mut config, batch.is_some())?;
+    let metrics = Arc::new(Metrics::new(&config.classes));
+    let listener_context = listeners::listener_context(
+        &limits,
+        &drain,
+        &successor_serving,
+        shutdown,
+        metrics.clone(),
+    );
     let actors = Actors::start(
         &mut config,
         &mut start,
         &limits,
+        metrics,
         drain,
         edge_file,
         inventory,
