Clients that write ahead are served in turn; the accept queue holds 4,096 connections

Cause: all connections share one thread, and a connection whose next request lay there already was served without a break; a client that wrote ahead and read nothing kept its descriptor for up to 20 s, and the accept loop waited for it; the runtime opens listening sockets with 128 places in the accept queue, and the system retries what finds no place after 1, 3 and 7 s.

Change: a connection yields before a request that was written ahead, waits 10 ms before each from the 17th in a row on, and may be evicted in that wait and while a client that writes ahead accepts no bytes. The queue has 4,096 places (the system's own limit), inherited sockets too.

Ruled out: speed of single answers and the core's mailbox (the log line shows 5993 ms unread and 1 ms to decide).

--- a/src/net/connection_limit/eviction.rs
+++ b/src/net/connection_limit/eviction.rs
@@ -96,6 +96,11 @@
         self.closing = true;
     }
 
+    /// Whether the connection has seen its eviction.
+    pub fn is_evicted(&self) -> bool {
+        self.closing
+    }
+
     /// The connection stays open despite its eviction, as a request has arrived on it in the
     /// meantime: another is evicted instead.
     pub fn decline_eviction(&mut self) {
--- a/src/net/listener/client_connection.rs
+++ b/src/net/listener/client_connection.rs
@@ -13,7 +13,7 @@
 use super::client_socket::{ClientPresence, ClientSocket};
 use super::connection_state::{ConnectionEvent, ConnectionState, RequestOutcome};
 use super::receiving::IncomingRequest;
-use super::time_limits::{ClientTimeouts, WRITE_TIMEOUT};
+use super::time_limits::{ClientTimeouts, MAX_PIPELINED_BURST, WRITE_TIMEOUT};
 use crate::net::connection_limit::ConnectionPermit;
 use crate::net::http::{Buffer, Head, HttpError};
 use crate::ops::metrics::{ConnectionEnd, Metrics};
@@ -32,6 +32,8 @@
     pub(super) incoming: Option<IncomingRequest>,
     /// Since when there may be bytes that have arrived and were not read, if there may be any.
     pub(super) unread_since: Option<Instant>,
+    /// Requests in a row that had arrived before the answer to the one before them was written.
+    pub(super) pipelined_requests: u32,
     _permit: ConnectionPermit,
 }
 
@@ -51,6 +53,7 @@
             opened_at: Some(Instant::now()),
             incoming: None,
             unread_since: Some(accepted.unread_since),
+            pipelined_requests: 0,
             _permit: accepted.permit,
         }
     }
@@ -104,17 +107,38 @@
     /// Writes to the client. Fails if it accepts nothing for too long: it would occupy a model
     /// server's stream for ever.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
-        let Ok(written) = timeout(WRITE_TIMEOUT, self.socket.write_all(bytes)).await else {
+        let write = timeout(WRITE_TIMEOUT, self.socket.write_all(bytes));
+        let written = if self.is_pipelining() {
+            // a client that writes ahead and reads nothing must not keep the descriptor
+            let mut idle = self.context.connection_limit.register_idle();
+            tokio::select! {
+                biased;
+                written = write => written.ok(),
+                () = idle.evicted() => None,
+            }
+        } else {
+            write.await.ok()
+        };
+        let Some(written) = written else {
             self.record_end(ConnectionEnd::Stalled);
             return Err(HttpError::ConnectionClosed);
         };
         Ok(written?)
     }
 
+    /// Whether the client writes many requests ahead of their answers.
+    pub(super) fn is_pipelining(&self) -> bool {
+        self.pipelined_requests > MAX_PIPELINED_BURST
+    }
+
     /// Writes the last bytes of an answer. A client that waits for it writes its next request later
     /// than this.
     pub async fn write_last(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
         self.clear_unread_since();
+        self.pipelined_requests = match self.unread_since {
+            Some(_) => self.pipelined_requests.saturating_add(1),
+            None => 0,
+        };
         self.write(bytes).await?;
         self.finish_request(RequestOutcome::Answered);
         Ok(())
--- a/src/net/listener/mod.rs
+++ b/src/net/listener/mod.rs
@@ -19,10 +19,13 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 
+use tracing::warn;
+
 use acceptor::Acceptor;
 
 pub use body::ReceivedBody;
@@ -34,6 +37,10 @@
 pub use receiving::NextRequest;
 pub use time_limits::{ClientTimeouts, REQUEST_CUTOFF_AFTER_SHUTDOWN};
 
+/// Connections that the system may queue for each listening socket; it lowers the number to its own
+/// limit (`net.core.somaxconn`, 4096 by default).
+const ACCEPT_QUEUE_LENGTH: i32 = 4096;
+
 /// Accepts connections until the process shuts down and none is left to accept; returns when all of
 /// them have ended.
 pub async fn serve<F, Fut>(
@@ -45,6 +52,7 @@
     F: Fn(ClientConnection) -> Fut,
     Fut: Future<Output = ()> + Send + 'static,
 {
+    set_accept_queue_length(&listener);
     // aborted when the set is dropped
     let mut heartbeat = JoinSet::new();
     heartbeat.spawn(run_heartbeat(context.heartbeat.clone()));
@@ -62,6 +70,14 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Lets the system queue connections for as long as a busy machine may take to accept them. It
+/// drops those that find the queue full, and their clients try again only 1 s later.
+fn set_accept_queue_length(listener: &TcpListener) {
+    if let Err(error) = SockRef::from(listener).listen(ACCEPT_QUEUE_LENGTH) {
+        warn!("the accept queue keeps its length: {error}");
+    }
+}
+
 /// Beats for as long as the process serves.
 async fn run_heartbeat(heartbeat: Arc<Heartbeat>) {
     let mut interval = tokio::time::interval(heartbeat::INTERVAL);
--- a/src/net/listener/receiving.rs
+++ b/src/net/listener/receiving.rs
@@ -8,8 +8,8 @@
 use super::ClientConnection;
 use super::connection_state::ConnectionEvent;
 use super::time_limits::{
-    IDLE_CLOSE_AFTER_DRAIN, READ_CUTOFF_AFTER_SHUTDOWN, REQUEST_CUTOFF_AFTER_DRAIN,
-    REQUEST_CUTOFF_AFTER_SHUTDOWN,
+    IDLE_CLOSE_AFTER_DRAIN, PIPELINING_DELAY, READ_CUTOFF_AFTER_SHUTDOWN,
+    REQUEST_CUTOFF_AFTER_DRAIN, REQUEST_CUTOFF_AFTER_SHUTDOWN,
 };
 use crate::net::connection_limit::IdleConnection;
 use crate::net::http::{self, Buffer, Head, HttpError};
@@ -47,6 +47,9 @@
         }
         let opened_at = self.opened_at.take();
         let mut idle = self.context.connection_limit.register_idle();
+        if let Err(end) = self.delay_pipelining(&mut idle).await {
+            return end;
+        }
         if let Err(end) = self.wait_for_first_byte(&mut idle, opened_at).await {
             return end;
         }
@@ -60,6 +63,27 @@
         self.read_head().await
     }
 
+    /// Lets others run before a request that was written ahead. All connections share one thread: a
+    /// client that writes ahead would be served as fast as it writes, and everyone else after it.
+    async fn delay_pipelining(&self, idle: &mut IdleConnection) -> Result<(), NextRequest> {
+        if self.pipelined_requests == 0 {
+            return Ok(());
+        }
+        if !self.is_pipelining() {
+            tokio::task::yield_now().await;
+            return Ok(());
+        }
+        tokio::select! {
+            biased;
+            // what it has written stays unread
+            () = idle.evicted() => {
+                self.record_end(ConnectionEnd::Evicted);
+                Err(NextRequest::Drop)
+            }
+            () = tokio::time::sleep(PIPELINING_DELAY) => Ok(()),
+        }
+    }
+
     async fn read_head(&mut self) -> NextRequest {
         loop {
             match self.read_more(http::request_head_length).await {
--- a/src/net/listener/time_limits.rs
+++ b/src/net/listener/time_limits.rs
@@ -52,6 +52,14 @@
 /// then, and a slow reader would lose its last answer.
 pub(super) const LINGERING_CLOSE_EXTENSION: Duration = Duration::from_secs(4);
 
+/// Requests that a client may write ahead in a row, each before it has the answer to the one before,
+/// and have served at once.
+pub(super) const MAX_PIPELINED_BURST: u32 = 16;
+
+/// How long the router waits before each further request that was written ahead. A client that
+/// writes ahead all the time gets 100 answers a second, and takes little time from others.
+pub(super) const PIPELINING_DELAY: Duration = Duration::from_millis(10);
+
 /// How often a connection with unread bytes is checked for its client's close. Well below 0.1 s: an
 /// attempt must not begin so long after its client has disconnected.
 pub(super) const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
--- a/src/router/open/mod.rs
+++ b/src/router/open/mod.rs
@@ -83,15 +83,16 @@
         fronts::open_batch(batch, &config, &actors, &listener_context, &request_ids).await?;
     let front = fronts::platform_front(&config, &actors, &limits, request_ids);
     fronts::log_addresses(&config, &listeners.platform, &listeners.admin);
+    let lifecycle = actors.lifecycle.clone();
+    let admin = |listener| AdminFront {
+        lifecycle,
+        listener,
+    };
+    let platform = |listener| PlatformFront { front, listener };
     Ok(Router {
         reloader: actors.reloader(config_file),
-        admin: listeners.admin.map(|listener| AdminFront {
-            lifecycle: actors.lifecycle.clone(),
-            listener,
-        }),
-        platform: listeners
-            .platform
-            .map(|listener| PlatformFront { front, listener }),
+        admin: listeners.admin.map(admin),
+        platform: listeners.platform.map(platform),
         batch,
         handover: handover::handover_start(
             start,
