Failing tests: fresh requests taken for expired, evictions that a wait for memory ignores

Cause: a request with 1,000 ms left gets 502 at once where the accept queue has not been empty for 1,200 ms: its time is counted from then, as if it had waited since. And the accept loop waits for a connection that it has evicted, while that one waits for memory and does not look.

Seen to fail on the program as it stands (502 in place of 200; no answer to a health check in 1.5 s).

--- a/tests/connection_limit.rs
+++ b/tests/connection_limit.rs
@@ -5,10 +5,11 @@
 
 use std::time::Duration;
 
+use common::low_memory;
 use common::peers::*;
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// At the connection limit idle connections are evicted; one with an unanswered request never is.
 #[tokio::test]
@@ -101,3 +102,64 @@
         assert_eq!(client.answer().await.unwrap().head.status, 200);
     }
 }
+
+/// While no descriptor is free, connections wait in the accept queue. A request that comes when the
+/// queue has not been empty for longer than its deadline has all of its time all the same: one with
+/// 970 ms left was rejected within the millisecond in which it was sent.
+#[tokio::test]
+async fn full_accept_queue_expires_no_fresh_request() {
+    let server = peer(|n, _, _| match n {
+        0..4 => vec![
+            Step::Write(format!("{STREAM}{}", chunk(&event("x")))),
+            Step::Gate,
+            Step::Write(LAST.into()),
+        ],
+        _ => answer("y"),
+    })
+    .await;
+    let mut config = config(&[("s-a", &server.address, "SERVING")], None);
+    config.max_descriptors = 48; // four for clients, four for servers
+    let router = route(config).await;
+    let mut busy = Vec::new();
+    for n in 1..=4 {
+        let mut client = Client::new(&router.platform).await;
+        client
+            .send(&request("batch-mark", 10_000, "Connection: close\r\n"))
+            .await;
+        until("the request is there", || server.requests() == n).await;
+        busy.push(client);
+    }
+    let _waiting = Client::new(&router.platform).await;
+    sleep(Duration::from_millis(1200)).await;
+    let mut fresh = Client::new(&router.platform).await;
+    fresh.send(&request("hint", 1000, "")).await;
+    server.gate.add_permits(4);
+    let answer = timeout(Duration::from_secs(5), fresh.answer()).await;
+    assert_eq!(
+        answer.unwrap().expect("an answer").head.status,
+        200,
+        "it was taken for expired"
+    );
+}
+
+/// A connection that is evicted while its body waits for memory frees its descriptor at once:
+/// nobody else was accepted until the wait for memory was over.
+#[tokio::test]
+async fn eviction_ends_wait_for_memory() {
+    let server = low_memory::gated_server().await;
+    let mut config = low_memory::config(&server.address);
+    config.max_descriptors = 48; // four for clients, four for servers
+    let router = route(config).await;
+    let _in_flight = low_memory::fill_memory(&router, &server).await;
+    let mut waiting = Vec::new();
+    for _ in 0..2 {
+        let mut client = Client::new(&router.platform).await;
+        client.send(&low_memory::large_request(100, 8000)).await;
+        waiting.push(client);
+    }
+    sleep(Duration::from_millis(200)).await;
+    let health = timeout(Duration::from_millis(1500), health_status(&router.platform));
+    assert_eq!(health.await, Ok(200), "not accepted in time");
+    let rejected = timeout(Duration::from_secs(5), waiting[0].answer()).await;
+    assert_eq!(rejected.unwrap().expect("an answer").head.status, 503);
+}
