A new request's time counts from when its data came; evictions end the wait for memory

Cause: a new connection's request counted as unread since the accept queue was last found empty. In a flood of connections it never is, so requests that had come just now were answered as expired. A connection that waits for memory did not notice its eviction, and the accept loop waited for its descriptor meanwhile, up to 2.5 s.

Change: the system is asked when the connection's last data came (TCP_INFO, a crate of its own as no library here reads it); the queue's time stays the bound where it does not tell. An evicted connection that waits for memory answers 503 and lingers for 50 ms at most.

Ruled out: a later deadline than the client's; the time of the last data is rounded to the early side by 10 ms, and counts only for the first request of a connection.

--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -104,16 +104,19 @@
         }
         let now = Instant::now();
         let since = *self.unread_since.get_or_insert(now);
-        let request_deadline = self
-            .incoming
-            .as_ref()
-            .map_or(now, |request| request.deadline);
-        let deadline = max_wait.map_or(request_deadline, |wait| request_deadline.min(since + wait));
+        let Some(IncomingRequest { idle, deadline }) = &mut self.incoming else {
+            return Err(HttpError::ConnectionClosed);
+        };
+        let deadline = max_wait.map_or(*deadline, |wait| (*deadline).min(since + wait));
         let reserved = timeout_at(deadline.into(), memory.clone().acquire_many_owned(permits));
-        reserved
-            .await
-            .map_err(|_| HttpError::NoCapacity)?
-            .map_err(|_| HttpError::ConnectionClosed)
+        tokio::select! {
+            biased;
+            reserved = reserved => reserved
+                .map_err(|_| HttpError::NoCapacity)?
+                .map_err(|_| HttpError::ConnectionClosed),
+            // its descriptor is needed too
+            () = idle.evicted() => Err(HttpError::NoCapacity),
+        }
     }
 
     /// The next bytes of an upload, which may take any time as long as it makes progress: it fails
--- a/src/net/listener/client_socket.rs
+++ b/src/net/listener/client_socket.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::sync::{Arc, Weak};
+use std::time::Duration;
 
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -59,6 +60,11 @@
         self.stream.state()
     }
 
+    /// The time since the last bytes arrived; `None` where the system does not tell.
+    pub fn time_since_last_data(&self) -> Option<Duration> {
+        self.stream.time_since_last_data()
+    }
+
     /// Whether the client has closed its side, also if there are unread bytes before the close.
     pub fn has_closed(&self) -> bool {
         self.stream.peer_has_closed()
--- a/src/net/listener/closing.rs
+++ b/src/net/listener/closing.rs
@@ -5,7 +5,9 @@
 use super::ClientConnection;
 use super::client_socket::ClientSocket;
 use super::connection_state::ConnectionEvent;
-use super::time_limits::{LINGERING_CLOSE_EXTENSION, LINGERING_CLOSE_TIMEOUT};
+use super::time_limits::{
+    EVICTED_CLOSE_TIMEOUT, LINGERING_CLOSE_EXTENSION, LINGERING_CLOSE_TIMEOUT,
+};
 use crate::net::http::{Body, Buffer};
 use crate::net::stream::StreamState;
 
@@ -35,6 +37,7 @@
             return;
         }
         let shutting_down = self.is_shutting_down();
+        let evicted = idle.is_evicted();
         let socket = &self.socket;
         let (buffer, mut remainder) = (&mut self.buffer, remainder);
         let closed_by_client = async {
@@ -42,6 +45,9 @@
             socket.wait_for_close().await;
         };
         let timed_out = async {
+            if evicted {
+                return tokio::time::sleep(EVICTED_CLOSE_TIMEOUT).await;
+            }
             tokio::time::sleep(LINGERING_CLOSE_TIMEOUT).await;
             // unread bytes make the close a reset, which must not overtake the last answer
             if !shutting_down && socket.state() == StreamState::Readable {
--- a/src/net/listener/receiving.rs
+++ b/src/net/listener/receiving.rs
@@ -8,7 +8,7 @@
 use super::ClientConnection;
 use super::connection_state::ConnectionEvent;
 use super::time_limits::{
-    IDLE_CLOSE_AFTER_DRAIN, PIPELINING_DELAY, READ_CUTOFF_AFTER_SHUTDOWN,
+    ARRIVAL_RESOLUTION, IDLE_CLOSE_AFTER_DRAIN, PIPELINING_DELAY, READ_CUTOFF_AFTER_SHUTDOWN,
     REQUEST_CUTOFF_AFTER_DRAIN, REQUEST_CUTOFF_AFTER_SHUTDOWN,
 };
 use crate::net::connection_limit::IdleConnection;
@@ -109,6 +109,9 @@
         let mut shutdown = self.context.clone();
         let mut drain = self.context.clone();
         self.clear_unread_since();
+        if opened_at.is_some() {
+            self.narrow_unread_since();
+        }
         let idle_deadline = opened_at.unwrap_or_else(Instant::now) + self.timeouts.idle;
         let end = tokio::select! {
             biased;
@@ -204,6 +207,22 @@
         }
     }
 
+    /// Asks the system when the bytes came that a new connection has brought. The accept queue alone
+    /// tells only that it was not empty, which in a flood of connections it never is: requests that
+    /// came just now would be taken for expired.
+    fn narrow_unread_since(&mut self) {
+        let Some(since) = self.unread_since else {
+            return;
+        };
+        let arrived = self
+            .socket
+            .time_since_last_data()
+            .and_then(|age| Instant::now().checked_sub(age + ARRIVAL_RESOLUTION));
+        if let Some(arrived) = arrived {
+            self.unread_since = Some(since.max(arrived));
+        }
+    }
+
     /// Notes if nothing is unread: what is read later has not arrived yet.
     pub(super) fn clear_unread_since(&mut self) {
         if self.unread_since.is_some() && self.socket.state() == StreamState::Quiet {
--- a/src/net/listener/time_limits.rs
+++ b/src/net/listener/time_limits.rs
@@ -52,6 +52,12 @@
 /// then, and a slow reader would lose its last answer.
 pub(super) const LINGERING_CLOSE_EXTENSION: Duration = Duration::from_secs(4);
 
+/// The system's clock for the arrival of data may be so much coarser than ours.
+pub(super) const ARRIVAL_RESOLUTION: Duration = Duration::from_millis(10);
+
+/// How long a lingering close of an evicted connection waits, whose descriptor is needed.
+pub(super) const EVICTED_CLOSE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Requests that a client may write ahead in a row, each before it has the answer to the one before,
 /// and have served at once.
 pub(super) const MAX_PIPELINED_BURST: u32 = 16;
--- a/src/net/stream/mod.rs
+++ b/src/net/stream/mod.rs
@@ -19,6 +19,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use rustix::net::RecvFlags;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -67,6 +68,12 @@
         }
     }
 
+    /// The time since the stream's last bytes arrived, read or unread; `None` where the system does
+    /// not tell. Makes a system call.
+    pub fn time_since_last_data(&self) -> Option<Duration> {
+        tcp_info::time_since_last_data(&self.socket)
+    }
+
     /// Whether the peer has closed or reset the connection, also where unread bytes come before the
     /// close. Makes a system call.
     pub fn peer_has_closed(&self) -> bool {
--- a/src/router/open/mod.rs
+++ b/src/router/open/mod.rs
@@ -54,10 +54,8 @@
     let drain = watch::Sender::new(None);
     let successor_serving = watch::Sender::new(false);
     let inventory = inventory.or_else(|| batch.as_ref().and_then(|b| b.inventory.clone()));
-    if inventory.is_some() {
-        // the file's changes are noticed here, so the decision module need not poll
-        config.settings.endpoints_on_request = false;
-    }
+    // the file's changes are noticed here, so the decision module need not poll
+    config.settings.endpoints_on_request &= inventory.is_none();
     let edge_file = EdgeFile::load(edge, &mut config, batch.is_some())?;
     let metrics = Arc::new(Metrics::new(&config.classes));
     let listener_context = listeners::listener_context(
@@ -84,15 +82,15 @@
     let front = fronts::platform_front(&config, &actors, &limits, request_ids);
     fronts::log_addresses(&config, &listeners.platform, &listeners.admin);
     let lifecycle = actors.lifecycle.clone();
-    let admin = |listener| AdminFront {
+    let admin = listeners.admin.map(|listener| AdminFront {
         lifecycle,
         listener,
-    };
-    let platform = |listener| PlatformFront { front, listener };
+    });
+    let platform = listeners.platform;
     Ok(Router {
         reloader: actors.reloader(config_file),
-        admin: listeners.admin.map(admin),
-        platform: listeners.platform.map(platform),
+        admin,
+        platform: platform.map(|listener| PlatformFront { front, listener }),
         batch,
         handover: handover::handover_start(
             start,
