--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -64,6 +64,15 @@
     listener: TcpListener,
 }
 
+impl AdminFront {
+    fn new(lifecycle: Arc<Lifecycle>, listener: TcpListener) -> AdminFront {
+        AdminFront {
+            lifecycle,
+            listener,
+        }
+    }
+}
+
 /// The front of the platform's clients, and its address.
 struct PlatformFront {
     front: Arc<DownstreamContext>,
--- a/src/router/open/mod.rs
+++ b/src/router/open/mod.rs
@@ -82,15 +82,12 @@
     let front = fronts::platform_front(&config, &actors, &limits, request_ids);
     fronts::log_addresses(&config, &listeners.platform, &listeners.admin);
     let lifecycle = actors.lifecycle.clone();
-    let admin = listeners.admin.map(|listener| AdminFront {
-        lifecycle,
-        listener,
-    });
-    let platform = listeners.platform;
+    let admin = |listener| AdminFront::new(lifecycle, listener);
+    let platform = |listener| PlatformFront { front, listener };
     Ok(Router {
         reloader: actors.reloader(config_file),
-        admin,
-        platform: platform.map(|listener| PlatformFront { front, listener }),
+        admin: listeners.admin.map(admin),
+        platform: listeners.platform.map(platform),
         batch,
         handover: handover::handover_start(
             start,
