Fault test: crowds, signals in series, the kill at its earliest

Need: the fault test had no crowd of other clients, one SIGTERM, and a kill 1.5 s later than the platform allows.

--- a/crates/cluster_test/src/process.rs
+++ b/crates/cluster_test/src/process.rs
@@ -120,6 +120,11 @@
         self.signal(Signal::TERM)
     }
 
+    /// Has the process read its configuration anew (SIGHUP).
+    pub fn reload(&self) -> Result<(), ClusterError> {
+        self.signal(Signal::HUP)
+    }
+
     /// Whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- /dev/null
+++ b/tests/faults/crowd.rs
@@ -0,0 +1,123 @@
+//! Clients that take up a router's descriptors and time: they rest, stop within a request, or write
+//! requests ahead, with or without reading the answers. Nothing that they do is recorded.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{JoinHandle, sleep, spawn};
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+/// Clients of a crowd that write ahead, and others.
+const WRITERS: std::ops::RangeInclusive<usize> = 0..=30;
+const OTHERS: std::ops::RangeInclusive<usize> = 10..=60;
+/// Commands that are written at once.
+const COMMANDS: usize = 100;
+const COMMAND: &[u8] = b"GET /_health HTTP/1.1\r\n\r\n";
+const HALF_A_REQUEST: &[u8] =
+    b"POST /v1/chat/completions HTTP/1.1\r\nX-Qos: hint\r\nContent-Length: 60000\r\n\r\n{";
+/// Bytes of the body of a request that stops within it.
+const HALF_A_BODY: usize = 30_000;
+/// How long a read or write waits before the client looks whether the run is over.
+const SOCKET_TIMEOUT: Duration = Duration::from_millis(5);
+/// A client that was closed connects again after this.
+const RECONNECT_DELAY: Duration = Duration::from_millis(20);
+
+/// What a client of a crowd does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Behavior {
+    Rest,
+    StopWithinHead,
+    StopWithinBody,
+    WriteAhead,
+    WriteAheadUnread,
+}
+
+/// The crowd of one router; ends when dropped.
+pub struct Crowd {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Crowd {
+    /// Starts a crowd, whose size and behaviour are drawn at random.
+    pub fn start(address: SocketAddr, rng: &mut StdRng) -> Crowd {
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut behaviors = Vec::new();
+        for _ in 0..rng.random_range(WRITERS) {
+            behaviors.push(if rng.random_bool(0.5) {
+                Behavior::WriteAhead
+            } else {
+                Behavior::WriteAheadUnread
+            });
+        }
+        for _ in 0..rng.random_range(OTHERS) {
+            behaviors.push(match rng.random_range(0..3) {
+                0 => Behavior::Rest,
+                1 => Behavior::StopWithinHead,
+                _ => Behavior::StopWithinBody,
+            });
+        }
+        let threads = behaviors.into_iter().map(|behavior| {
+            let stop = stop.clone();
+            spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    let _ = connect_once(address, behavior, &stop);
+                    sleep(RECONNECT_DELAY);
+                }
+            })
+        });
+        Crowd {
+            threads: threads.collect(),
+            stop,
+        }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// One connection, until the router closes it or the run is over.
+fn connect_once(address: SocketAddr, behavior: Behavior, stop: &AtomicBool) -> std::io::Result<()> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(500))?;
+    stream.set_read_timeout(Some(SOCKET_TIMEOUT))?;
+    stream.set_write_timeout(Some(SOCKET_TIMEOUT))?;
+    let mut unwritten = match behavior {
+        Behavior::Rest => Vec::new(),
+        Behavior::StopWithinHead => HALF_A_REQUEST[..50].to_vec(),
+        Behavior::StopWithinBody => [HALF_A_REQUEST, &[b' '; HALF_A_BODY]].concat(),
+        Behavior::WriteAhead | Behavior::WriteAheadUnread => COMMAND.repeat(COMMANDS),
+    };
+    let writes_ahead = matches!(behavior, Behavior::WriteAhead | Behavior::WriteAheadUnread);
+    let mut answers = [0; 16 << 10];
+    while !stop.load(Ordering::Relaxed) {
+        if !unwritten.is_empty() {
+            match stream.write(&unwritten) {
+                Ok(written) if writes_ahead => unwritten.rotate_left(written),
+                Ok(written) => drop(unwritten.drain(..written)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) => return Err(e),
+            }
+        }
+        if behavior == Behavior::WriteAheadUnread {
+            sleep(Duration::from_millis(1));
+            continue;
+        }
+        match stream.read(&mut answers) {
+            Ok(0) => return Ok(()),
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -6,6 +6,7 @@
 mod check_tests;
 mod client_action;
 mod clients;
+mod crowd;
 mod deliveries;
 mod failing_calls;
 mod http;
@@ -17,14 +18,18 @@
 use std::path::PathBuf;
 
 use record::{AttemptEnd, DeliveryEnd, Record};
-use seed_run::{SeedRun, SystemCalls};
+use seed_run::{Conditions, OtherClients, SeedRun, SystemCalls};
 
 /// Seeds that every run of the tests uses.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
 /// The same with failing system calls.
 const SEEDS_OF_FAILING_CALLS: std::ops::RangeInclusive<u64> = 1..=10;
+/// The same beside clients that take up the routers' descriptors and time.
+const SEEDS_OF_CROWDS: std::ops::RangeInclusive<u64> = 1..=6;
 /// Seeds that run concurrently.
 const CONCURRENT_RUNS: usize = 5;
+/// The same with crowds, which take up the machine too.
+const CONCURRENT_CROWDS: usize = 2;
 
 /// Held while the seeds of one test run, so that two tests do not share the machine.
 static RUNNING: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
@@ -68,13 +73,17 @@
 }
 
 /// Runs these seeds and checks each against the rules.
-async fn check_seeds(seeds: Vec<u64>, calls: SystemCalls) {
+async fn check_seeds(seeds: Vec<u64>, conditions: Conditions) {
     let (program, mut violations) = (program(), Vec::new());
-    for seeds in seeds.chunks(CONCURRENT_RUNS) {
+    let concurrent = match conditions.others {
+        OtherClients::None => CONCURRENT_RUNS,
+        OtherClients::Crowd => CONCURRENT_CROWDS,
+    };
+    for seeds in seeds.chunks(concurrent) {
         let running = RUNNING.lock().await;
         let runs = seeds
             .iter()
-            .map(|&seed| seed_run::run_seed(seed, &program, calls));
+            .map(|&seed| seed_run::run_seed(seed, &program, conditions));
         let results = futures_util::future::join_all(runs).await;
         drop(running);
         for (seed, result) in seeds.iter().zip(results) {
@@ -92,7 +101,7 @@
             );
             assert_eq!(
                 failed_calls > 0,
-                calls == SystemCalls::Failing,
+                conditions.calls == SystemCalls::Failing,
                 "seed {seed}: {failed_calls} failed"
             );
             for found in check::violations(&record) {
@@ -109,10 +118,23 @@
 
 #[tokio::test]
 async fn every_accepted_request_ends_once() {
-    check_seeds(seeds(SEEDS), SystemCalls::Sound).await;
+    check_seeds(seeds(SEEDS), Conditions::default()).await;
 }
 
 #[tokio::test]
 async fn every_request_survives_failing_system_calls() {
-    check_seeds(seeds(SEEDS_OF_FAILING_CALLS), SystemCalls::Failing).await;
+    let conditions = Conditions {
+        calls: SystemCalls::Failing,
+        ..Conditions::default()
+    };
+    check_seeds(seeds(SEEDS_OF_FAILING_CALLS), conditions).await;
+}
+
+#[tokio::test]
+async fn every_request_survives_crowds() {
+    let conditions = Conditions {
+        others: OtherClients::Crowd,
+        ..Conditions::default()
+    };
+    check_seeds(seeds(SEEDS_OF_CROWDS), conditions).await;
 }
--- a/tests/faults/seed_run.rs
+++ b/tests/faults/seed_run.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use super::clients::Client;
+use super::crowd::Crowd;
 use super::failing_calls::draw_rules;
 use super::record::{OutageKind, Record};
 use super::recorder::Recorder;
@@ -24,8 +25,13 @@
 const LENGTH: Duration = Duration::from_secs(5);
 /// Clients of a router.
 const CLIENTS: usize = 8;
-/// A terminated process is killed after this.
-const SHUTDOWN_GRACE: Duration = Duration::from_millis(3700);
+/// A terminated process is killed after this, the earliest time that the platform allows: 0.7 s and
+/// the longest deadline of a class (1.5 s). Clients use their connections until then.
+const SHUTDOWN_GRACE: Duration = Duration::from_millis(2200);
+/// The most signals that come in a row.
+const MAX_SIGNALS: usize = 3;
+/// The most routers beside a crowd.
+const MAX_ROUTERS_WITH_CROWD: usize = 3;
 
 /// A fault of a router's process.
 #[derive(Clone, Copy, Debug)]
@@ -34,18 +40,36 @@
     Stop(Duration),
     /// SIGKILL and a restart.
     Kill,
-    /// SIGTERM, SIGKILL after `SHUTDOWN_GRACE`, and a restart.
+    /// SIGHUPs and SIGTERMs in a row, SIGKILL `SHUTDOWN_GRACE` after the first SIGTERM, and a
+    /// restart.
     Terminate,
 }
 
 /// Whether system calls of the routers fail.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum SystemCalls {
+    #[default]
     Sound,
     /// Some fail, drawn from the seed.
     Failing,
 }
 
+/// Which other clients the routers have.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OtherClients {
+    #[default]
+    None,
+    /// Ones that rest, stop within a request, or write ahead, drawn from the seed.
+    Crowd,
+}
+
+/// The conditions of a run.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Conditions {
+    pub calls: SystemCalls,
+    pub others: OtherClients,
+}
+
 /// The result of a run.
 pub struct SeedRun {
     pub record: Record,
@@ -57,7 +81,7 @@
 pub async fn run_seed(
     seed: u64,
     program: &Path,
-    calls: SystemCalls,
+    conditions: Conditions,
 ) -> Result<SeedRun, ClusterError> {
     let mut rng = StdRng::seed_from_u64(seed);
     let folder = tempfile::tempdir()?;
@@ -66,7 +90,10 @@
         .map(|n| Server::start(seed * 100 + n, recorder.clone(), stop.clone()))
         .collect();
     let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
-    let routers = rng.random_range(3..=6);
+    let mut routers = rng.random_range(3..=6);
+    if conditions.others == OtherClients::Crowd {
+        routers = routers.min(MAX_ROUTERS_WITH_CROWD);
+    }
     let discovery = Discovery::start(vec![addresses.clone(); routers]).await?;
     let rules = draw_rules(seed);
     let (mut processes, mut injections) = (Vec::new(), Vec::new());
@@ -77,7 +104,7 @@
             config["limits"] = json!({"cores": 1.0, "memory_mb": 1, "sockets": 56});
         }
         let folder = folder.path().join(router.to_string());
-        let injection = match calls {
+        let injection = match conditions.calls {
             SystemCalls::Sound => None,
             SystemCalls::Failing => Some(Injection::new(&folder, seed, &rules)?),
         };
@@ -88,12 +115,20 @@
     }
     let until = Instant::now() + LENGTH;
     let clients = start_clients(&processes, &mut rng, &recorder, until);
+    let crowds: Vec<Crowd> = match conditions.others {
+        OtherClients::None => Vec::new(),
+        OtherClients::Crowd => processes
+            .iter()
+            .map(|process| Crowd::start(process.listen, &mut rng))
+            .collect(),
+    };
     let faults = processes.into_iter().enumerate().map(|(router, process)| {
         let rng = StdRng::seed_from_u64(rng.random());
         inject_faults(router, process, rng, until, recorder.clone())
     });
     let processes = futures_util::future::try_join_all(faults).await?;
     wait_for(&clients).await;
+    drop(crowds);
     wait_for(&recorder.take_watches()).await;
     stop.store(true, Ordering::Relaxed);
     drop((processes, discovery));
@@ -150,6 +185,21 @@
     Ok(failed_calls)
 }
 
+/// Sends a series of signals that ends the process; at once, or some milliseconds apart.
+async fn send_signals(process: &RouterProcess, rng: &mut StdRng) -> Result<(), ClusterError> {
+    for _ in 0..rng.random_range(0..MAX_SIGNALS) {
+        process.reload()?;
+        sleep(Duration::from_millis(rng.random_range(0..20))).await;
+    }
+    process.terminate()?;
+    for _ in 1..rng.random_range(1..=MAX_SIGNALS) {
+        sleep(Duration::from_millis(rng.random_range(0..20))).await;
+        // an idle process may have ended by then
+        let _ = process.terminate();
+    }
+    Ok(())
+}
+
 /// Injects random faults into one router until the clients stop.
 async fn inject_faults(
     router: usize,
@@ -182,7 +232,7 @@
                 recorder.record_outage(router, OutageKind::Killed, from);
             }
             ProcessFault::Terminate => {
-                process.terminate()?;
+                send_signals(&process, &mut rng).await?;
                 while !process.has_exited() && from.elapsed() < SHUTDOWN_GRACE {
                     sleep(Duration::from_millis(5)).await;
                 }
