Failing test: a request that crosses an idle close is held unread for 5 s

Cause: the lingering close waits 1 s for the client, and 4 s more over unread bytes, so that a reset does not take a last answer away; also where there is no such answer. A client whose view of the close is held up on the way waits all that time for its request, unread.

--- a/tests/closing.rs
+++ b/tests/closing.rs
@@ -221,3 +221,17 @@
         (408, 0)
     );
 }
+
+/// A request that crosses the close of an idle connection is unread, and its client has to learn
+/// that from a reset where the close itself was held up on the way. It comes at once, not after the
+/// 5 s for which the close of a connection with a recent answer waits for a slow reader.
+#[tokio::test]
+async fn request_crossing_idle_close_is_reset_at_once() {
+    let server = peer(|_, _, _| answer("x")).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    let mut client = Client::new(&router.platform).await;
+    assert!(client.answer().await.is_none(), "closed for its idle time");
+    client.send(&request("hint", 1000, "")).await;
+    let reset = timeout(Duration::from_millis(700), client.is_reset()).await;
+    assert_eq!(reset, Ok(true));
+}
