Idle closes reset a crossing request at once; waits in the accept queue are measured by it

Cause: the wait for a slow reader applied to closes without a recent answer; the accept loop asked the runtime whether the queue is empty, which also says so to a task that has used up its budget; the 503 after a wait for memory was decided at the deadline itself, so it came after it.

Ruled out: a reset that takes an answer away; a first form that looked at complete answers alone failed last_answer_arrives_completely for a stream that broke, and now any request's end counts.

Measured: request_crossing_idle_close_is_reset_at_once fails before and passes after; closing, clients, graceful_shutdown and eight other suites pass. The last two changes have no test of their own.

--- a/src/net/listener/acceptor.rs
+++ b/src/net/listener/acceptor.rs
@@ -6,7 +6,6 @@
 use std::io;
 use std::time::Instant;
 
-use futures_util::FutureExt;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tracing::info;
@@ -73,13 +72,18 @@
         let mut shutdown = self.context.clone();
         // checked each time, so that a flood of connections or errors can't hide the shutdown
         while !self.has_stopped() {
-            match self.listener.accept().now_or_never() {
-                Some(Ok(stream)) => return self.admit(stream).await,
-                Some(Err(e)) => {
+            tokio::task::coop::consume_budget().await;
+            // not by the runtime, which also reports an empty queue to a task that has used up its
+            // budget
+            match self.listener.accept_queued() {
+                Ok(stream) => return self.admit(stream).await,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.queue_empty_at = Instant::now();
+                }
+                Err(e) => {
                     self.errors.back_off(&e).await;
                     continue;
                 }
-                None => self.queue_empty_at = Instant::now(),
             }
             let accepted = tokio::select! {
                 biased;
--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -9,6 +9,7 @@
 
 use super::ClientConnection;
 use super::receiving::IncomingRequest;
+use super::time_limits::ANSWER_MARGIN;
 use crate::net::http::{Body, HttpError};
 
 /// Bytes that one permit of the memory for bodies stands for.
@@ -107,7 +108,9 @@
         let Some(IncomingRequest { idle, deadline }) = &mut self.incoming else {
             return Err(HttpError::ConnectionClosed);
         };
-        let deadline = max_wait.map_or(*deadline, |wait| (*deadline).min(since + wait));
+        let deadline = max_wait.map_or(*deadline, |wait| {
+            (*deadline).min(since + wait.saturating_sub(ANSWER_MARGIN))
+        });
         let reserved = timeout_at(deadline.into(), memory.clone().acquire_many_owned(permits));
         tokio::select! {
             biased;
--- a/src/net/listener/client_connection.rs
+++ b/src/net/listener/client_connection.rs
@@ -34,6 +34,8 @@
     pub(super) unread_since: Option<Instant>,
     /// Requests in a row that had arrived before the answer to the one before them was written.
     pub(super) pipelined_requests: u32,
+    /// When the last request finished.
+    pub(super) last_answer_at: Option<Instant>,
     _permit: ConnectionPermit,
 }
 
@@ -54,6 +56,7 @@
             incoming: None,
             unread_since: Some(accepted.unread_since),
             pipelined_requests: 0,
+            last_answer_at: None,
             _permit: accepted.permit,
         }
     }
@@ -90,6 +93,7 @@
 
     /// The request has finished.
     pub fn finish_request(&mut self, outcome: RequestOutcome) {
+        self.last_answer_at = Some(Instant::now());
         self.apply(ConnectionEvent::RequestFinished(outcome));
     }
 
--- a/src/net/listener/closing.rs
+++ b/src/net/listener/closing.rs
@@ -38,6 +38,10 @@
         }
         let shutting_down = self.is_shutting_down();
         let evicted = idle.is_evicted();
+        let last_answer_at = self.last_answer_at;
+        let answered_recently =
+            last_answer_at.is_some_and(|at| at.elapsed() < LINGERING_CLOSE_TIMEOUT);
+        let is_request_next = matches!(remainder, UnreadRemainder::Nothing);
         let socket = &self.socket;
         let (buffer, mut remainder) = (&mut self.buffer, remainder);
         let closed_by_client = async {
@@ -54,8 +58,15 @@
                 tokio::time::sleep(LINGERING_CLOSE_EXTENSION).await;
             }
         };
+        // a reset tells the client of a request that crossed the close, and takes no answer away
+        let reset_for_request = async {
+            if answered_recently || !is_request_next || !socket.readable().await {
+                std::future::pending::<()>().await;
+            }
+        };
         tokio::select! {
             () = closed_by_client => {}
+            () = reset_for_request => debug!("a request crossed the close"),
             () = idle.evicted() => {}
             () = timed_out => debug!("lingering close timed out before the client's close"),
         }
--- a/src/net/listener/time_limits.rs
+++ b/src/net/listener/time_limits.rs
@@ -55,6 +55,10 @@
 /// The system's clock for the arrival of data may be so much coarser than ours.
 pub(super) const ARRIVAL_RESOLUTION: Duration = Duration::from_millis(10);
 
+/// A request that waits for memory is rejected so long before its deadline: its client is to have
+/// the answer by then.
+pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(3);
+
 /// How long a lingering close of an evicted connection waits, whose descriptor is needed.
 pub(super) const EVICTED_CLOSE_TIMEOUT: Duration = Duration::from_millis(50);
 
