--- a/tests/faults/crowd.rs
+++ b/tests/faults/crowd.rs
@@ -11,8 +11,9 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 
-/// Clients of a crowd that write ahead, and others.
-const WRITERS: std::ops::RangeInclusive<usize> = 0..=30;
+/// Clients of a crowd that write ahead, in a large one, and others.
+const WRITERS: std::ops::RangeInclusive<usize> = 0..=10;
+const WRITERS_OF_LARGE: std::ops::RangeInclusive<usize> = 100..=140;
 const OTHERS: std::ops::RangeInclusive<usize> = 10..=60;
 /// Commands that are written at once.
 const COMMANDS: usize = 100;
@@ -43,11 +44,13 @@
 }
 
 impl Crowd {
-    /// Starts a crowd, whose size and behaviour are drawn at random.
-    pub fn start(address: SocketAddr, rng: &mut StdRng) -> Crowd {
+    /// Starts a crowd, whose size and behaviour are drawn at random. A large one has many clients
+    /// that write ahead.
+    pub fn start(address: SocketAddr, is_large: bool, rng: &mut StdRng) -> Crowd {
         let stop = Arc::new(AtomicBool::new(false));
         let mut behaviors = Vec::new();
-        for _ in 0..rng.random_range(WRITERS) {
+        let writers = if is_large { WRITERS_OF_LARGE } else { WRITERS };
+        for _ in 0..rng.random_range(writers) {
             behaviors.push(if rng.random_bool(0.5) {
                 Behavior::WriteAhead
             } else {
--- a/tests/faults/seed_run.rs
+++ b/tests/faults/seed_run.rs
@@ -119,7 +119,9 @@
         OtherClients::None => Vec::new(),
         OtherClients::Crowd => processes
             .iter()
-            .map(|process| Crowd::start(process.listen, &mut rng))
+            .enumerate()
+            // one large one takes up enough of the machine
+            .map(|(router, process)| Crowd::start(process.listen, router == 0, &mut rng))
             .collect(),
     };
     let faults = processes.into_iter().enumerate().map(|(router, process)| {
