--- a/crates/inherited_listener/src/lib.rs
+++ b/crates/inherited_listener/src/lib.rs
@@ -1,7 +1,7 @@
 //! Takes over the listening socket that the process was started with, identified by the number of
 //! its file descriptor.
 //!
-//! This crate contains the only `unsafe` block of the program: a number becomes an owned
+//! This crate and `tcp_info` contain the only `unsafe` blocks of the program. Here a number becomes an owned
 //! descriptor. The crate `listenfd` is no replacement, because it reads systemd's variables and
 //! doesn't check the socket.
 #![warn(missing_docs)]
