Failing tests: socket calls that lack memory or buffers for a moment

Cause: recv and send may fail with ENOMEM or ENOBUFS for a moment; the connection was taken for broken, and its request lost. Found by reading the error table beside the incident.

--- a/crates/fault_plan/src/lib.rs
+++ b/crates/fault_plan/src/lib.rs
@@ -21,7 +21,7 @@
 /// Error numbers for [`Fault::Errno`].
 pub mod errno {
     pub use libc::{
-        EADDRNOTAVAIL, ECONNABORTED, EINTR, EIO, EMFILE, ENETUNREACH, ENFILE, ENOBUFS, ENOSPC,
-        ETIMEDOUT,
+        EADDRNOTAVAIL, ECONNABORTED, EINTR, EIO, EMFILE, ENETUNREACH, ENFILE, ENOBUFS, ENOMEM,
+        ENOSPC, ETIMEDOUT,
     };
 }
--- a/tests/syscall_faults.rs
+++ b/tests/syscall_faults.rs
@@ -93,6 +93,9 @@
 #[case::socket_without_system_files(vec![fails(Call::Socket, errno::ENFILE, 0.05)])]
 #[case::socket_without_own_files(vec![fails(Call::Socket, errno::EMFILE, 0.05)])]
 #[case::all_of_them(mixed())]
+#[case::recv_without_memory(vec![fails(Call::Recv, errno::ENOMEM, 0.02)])]
+#[case::peek_without_memory(vec![fails(Call::Peek, errno::ENOMEM, 0.02)])]
+#[case::send_without_buffers(vec![fails(Call::Send, errno::ENOBUFS, 0.02)])]
 #[tokio::test]
 async fn live_requests_survive_failing_calls(#[case] rules: Vec<Rule>) {
     let router = InjectedRouter::start(&rules).await;
