Socket calls that lack memory or buffers for a moment are retried

Cause: ENOMEM and ENOBUFS were taken for the end of the connection.

Ruled out: EAGAIN without a later event; Linux documents none.

--- a/src/net/stream/mod.rs
+++ b/src/net/stream/mod.rs
@@ -6,6 +6,8 @@
 //!   `AsyncRead` and `AsyncWrite` take it for that and clear its readiness; no event follows for
 //!   bytes that have arrived already, so the next call would wait forever. Here only `EAGAIN`
 //!   clears readiness.
+//! - A call that the system lacks memory or buffers for (`ENOMEM`, `ENOBUFS`) is retried, at once
+//!   and then with a delay: the connection is unaffected too.
 //! - Any other error means that the connection is broken.
 //!
 //! The cost is one more `recv` that finds nothing, before each wait for a peer whose bytes have all
@@ -15,6 +17,7 @@
 //! callers'.
 
 mod socket;
+mod transient;
 
 use std::io;
 use std::pin::Pin;
@@ -24,10 +27,10 @@
 use rustix::net::RecvFlags;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
-
-use crate::system_call::retry_on_interrupt;
+use tokio::time::sleep;
 
 pub use socket::Socket;
+use transient::{SHORTAGE_DELAY, is_shortage, retry_transient};
 
 /// The most that one read takes, in bytes. Bounds how much memory is cleared ahead of it.
 const MAX_READ_BYTES: usize = 64 << 10;
@@ -77,7 +80,7 @@
     /// Whether the peer has closed or reset the connection, also where unread bytes come before the
     /// close. Makes a system call.
     pub fn peer_has_closed(&self) -> bool {
-        match retry_on_interrupt(|| self.socket.poll_hangup()) {
+        match retry_transient(|| self.socket.poll_hangup()) {
             Ok(closed) => closed,
             // the poll failed: the close shows once the bytes before it have been read
             Err(_) => self.state() == StreamState::Closed,
@@ -87,30 +90,38 @@
     /// Waits until there are bytes to read (true), or the connection has closed or failed (false).
     /// Consumes nothing. Cancel safe.
     pub async fn readable(&self) -> bool {
-        let peek = || retry_on_interrupt(|| self.socket.receive(&mut [0], RecvFlags::PEEK));
-        matches!(
-            self.socket.async_io(Interest::READABLE, peek).await,
-            Ok(1..)
-        )
+        let peek = || retry_transient(|| self.socket.receive(&mut [0], RecvFlags::PEEK));
+        loop {
+            match self.socket.async_io(Interest::READABLE, peek).await {
+                Err(error) if is_shortage(&error) => sleep(SHORTAGE_DELAY).await,
+                result => return matches!(result, Ok(1..)),
+            }
+        }
     }
 
     /// Copies the first bytes that have arrived without consuming them. 0 at the connection's end;
     /// `WouldBlock` where nothing has arrived. Makes a system call.
     pub fn try_peek(&self, buffer: &mut [u8]) -> io::Result<usize> {
-        retry_on_interrupt(|| self.socket.receive(buffer, RecvFlags::PEEK))
+        retry_transient(|| self.socket.receive(buffer, RecvFlags::PEEK))
     }
 
     /// Reads bytes that have arrived. 0 at the connection's end; `WouldBlock` where nothing has
     /// arrived. Makes a system call.
     pub fn try_read(&self, buffer: &mut [u8]) -> io::Result<usize> {
-        retry_on_interrupt(|| self.socket.receive(buffer, RecvFlags::empty()))
+        retry_transient(|| self.socket.receive(buffer, RecvFlags::empty()))
     }
 
     /// Writes all of it.
     pub async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
-            let send = || retry_on_interrupt(|| self.socket.send(bytes));
-            let written = self.socket.async_io(Interest::WRITABLE, send).await?;
+            let send = || retry_transient(|| self.socket.send(bytes));
+            let written = match self.socket.async_io(Interest::WRITABLE, send).await {
+                Err(error) if is_shortage(&error) => {
+                    sleep(SHORTAGE_DELAY).await;
+                    continue;
+                }
+                written => written?,
+            };
             if written == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
@@ -156,7 +167,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let send = || retry_on_interrupt(|| self.socket.send(bytes));
+        let send = || retry_transient(|| self.socket.send(bytes));
         loop {
             ready!(self.socket.poll_write_ready(context))?;
             match self.socket.try_io(Interest::WRITABLE, send) {
