The log is written by its own thread: a full log no longer stops the router

What callers saw: once the log's reader had stopped, nobody got an answer (0 of 3 within 4 s after the pipe was full, 3 of 3 in 0.1 s before), and the process did not end within 6 s of SIGTERM.

Cause: each line was written to standard error by the thread that serves all connections. A write to a full pipe, or to a disk that hangs, blocks.

Ruled out: the load (the router was idle), and the reader's slowness alone (the router went on as soon as it read again). By its nature the log says nothing of it.

Change: lines are queued (1,024 of at most 4 KB) for a thread that writes them. Lines beyond that are omitted, counted (`router_log_lines_omitted`) and reported by a line once the log takes it. The end of the process waits 0.5 s at most for the last lines. Panics are logged the same way. The known crate for this, tracing-appender, prints to standard error at the end where the log is full, and so would hang there.

Evidence: tests/blocked_log.rs failed before in both cases (a log line for each request: no answer; otherwise: the process does not end), and passes now.

--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,13 +1,18 @@
-//! Sets up the program's log: structured, on standard error, as text or as JSON lines. What is
-//! logged belongs to the modules that log it.
+//! Sets up the program's log: structured, on standard error, as text or as JSON lines, written by a
+//! thread of its own ([`writer`]). What is logged belongs to the modules that log it.
+
+pub mod writer;
 
 use std::str::FromStr;
 
 use thiserror::Error;
 use tracing_subscriber::filter::Targets;
+use tracing_subscriber::fmt::writer::BoxMakeWriter;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
+use writer::{LogGuard, LogWriter};
+
 /// What is logged where `RUST_LOG` is missing or invalid.
 const DEFAULT_FILTER: &str = "info";
 
@@ -39,17 +44,24 @@
 }
 
 /// Starts the log. `filter` has the syntax of `RUST_LOG` (`info`, `stilespan=debug`); an invalid one
-/// is ignored.
-pub fn start(format: LogFormat, filter: Option<&str>) {
+/// is ignored. Where the system has no thread for it, lines are written by whoever logs them.
+pub fn start(format: LogFormat, filter: Option<&str>) -> LogGuard {
     let registry = tracing_subscriber::registry().with(targets(filter));
+    let writer = LogWriter::start(std::io::stderr()).ok();
+    let make_writer = match writer.clone() {
+        Some(writer) => BoxMakeWriter::new(writer),
+        None => BoxMakeWriter::new(std::io::stderr),
+    };
     let layer = tracing_subscriber::fmt::layer()
-        .with_writer(std::io::stderr)
+        .with_writer(make_writer)
         .with_ansi(false);
     // a second start, as in a test, leaves the first in effect
     let _ = match format {
         LogFormat::Text => registry.with(layer).try_init(),
         LogFormat::Json => registry.with(layer.json().flatten_event(true)).try_init(),
     };
+    writer::log_panics();
+    LogGuard { writer }
 }
 
 fn targets(filter: Option<&str>) -> Targets {
--- a/src/main.rs
+++ b/src/main.rs
@@ -157,11 +157,11 @@
         Command::Serve(serve) => serve.log,
         _ => LogFormat::Text,
     };
-    logs::start(log_format, std::env::var("RUST_LOG").ok().as_deref());
+    let log = logs::start(log_format, std::env::var("RUST_LOG").ok().as_deref());
     match run(args.command, listener) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("stilespan: {error}");
+            log.print(&format!("stilespan: {error}"));
             ExitCode::FAILURE
         }
     }
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use tracing::warn;
 
+use crate::logs;
+
 pub use client_side::{ClientMetrics, ConnectionEnd};
 
 /// How a request ended for its client.
@@ -48,6 +50,7 @@
     avoided_servers: IntGauge,
     drained: IntGauge,
     succeeded: IntGauge,
+    omitted_log_lines: IntGauge,
     clients: ClientMetrics,
 }
 
@@ -89,6 +92,10 @@
                 "router_succeeded",
                 "1 once a successor process has taken over.",
             )?,
+            omitted_log_lines: gauge(
+                "router_log_lines_omitted",
+                "Lines missing in the log, as it was full.",
+            )?,
             clients: ClientMetrics::register(&registry)?,
             registry,
         })
@@ -137,6 +144,9 @@
 
     /// The metrics in Prometheus's text format.
     pub fn encode(&self) -> String {
+        let omitted = logs::writer::omitted_lines();
+        self.omitted_log_lines
+            .set(i64::try_from(omitted).unwrap_or(i64::MAX));
         let families = self.registry.gather();
         TextEncoder::new()
             .encode_to_string(&families)
