Configuration and inventory are read by threads of their own: a file that hangs stops nothing

What callers saw: after SIGHUP with a configuration file that can't be read to its end, 0 of 3 requests were answered within 3 s, and SIGTERM had no effect. An inventory on such a disk did the same without a signal, at its next check.

Cause: SIGHUP (`Config::reload`, `Edge::reload`) and the inventory's watcher called `std::fs` in the thread that serves all connections. The edge held its lock across the read, so a thread for the read alone would not have helped.

Ruled out: parsing (a file of this size takes under 1 ms), and the number of signals (one is enough).

The edge loads without its lock. A further SIGHUP while files are read begins anew. The inventory's file is checked apart from the answers to the core. The end of the process waits 0.2 s at most for the runtime's blocking calls; without a limit it would wait for one that hangs.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -82,6 +82,14 @@
     }
 }
 
+/// A configuration as its files have it, not in force yet.
+#[derive(Debug)]
+pub struct LoadedConfig {
+    config: EdgeConfig,
+    /// The numbers of all models that were ever configured, with its own.
+    model_numbers: ModelNumbers,
+}
+
 /// The edge of a router; front ends share it.
 pub struct Edge {
     /// The edge's file, for reloads.
@@ -144,14 +152,26 @@
         clock_reading(self.clock)
     }
 
-    /// Reads the files again and puts them into force, or, if one has an error, changes nothing.
-    /// Requests in flight keep their fallback chain and price.
-    pub fn reload(&self) -> Result<(), ConfigError> {
+    /// Reads the files again. Blocks, and holds no lock meanwhile.
+    pub fn load_config(&self) -> Result<LoadedConfig, ConfigError> {
         let classes: Vec<String> = self.classes.iter().map(|c| c.name.clone()).collect();
+        let mut model_numbers = self.state().model_numbers.clone();
+        let config = EdgeConfig::load(&self.file, &classes, &mut model_numbers)?;
+        Ok(LoadedConfig {
+            config,
+            model_numbers,
+        })
+    }
+
+    /// Puts a configuration into force that was loaded last, or, if it has an error, changes
+    /// nothing. Requests in flight keep their fallback chain and price.
+    pub fn apply(&self, loaded: LoadedConfig) -> Result<(), ConfigError> {
+        let LoadedConfig {
+            config,
+            model_numbers,
+        } = loaded;
         let now = self.clock_reading();
         let mut state = self.state();
-        // the numbers that an invalid file adds are harmless: no configuration refers to them
-        let config = EdgeConfig::load(&self.file, &classes, &mut state.model_numbers)?;
         state
             .ledger
             .reload(&config.tree, now)
@@ -160,6 +180,7 @@
         if config.tenants != state.config.tenants {
             warn!("{file}: tenants or quotas changed: this takes effect after a restart");
         }
+        state.model_numbers = model_numbers;
         state.replace_config(config);
         info!("{file}: in force: {}", state.config.summary());
         self.config_changed.notify_one();
--- a/src/inventory/watcher.rs
+++ b/src/inventory/watcher.rs
@@ -3,18 +3,24 @@
 //! valid list stays in use.
 
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use tokio::sync::mpsc;
-use tokio::time::interval;
+use tokio::time::{MissedTickBehavior, interval};
 use tracing::{info, warn};
 
 use crate::core::{CoreMessage, DiscoveryCommand, Endpoint, EndpointsUpdate};
 use crate::interface::EndpointListKind;
+use crate::log_limit::LogLimit;
+use crate::storage::{BackgroundReader, ReadAbandoned};
+
+use super::InventoryError;
 
 /// How often the file is checked for changes. One `stat` a check, and an operator's edit counts
 /// within half a second.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a check may take before it is given up.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The core has stopped, so nobody wants the list any more.
 #[derive(Debug)]
@@ -29,12 +35,24 @@
     Present { modified: SystemTime, bytes: u64 },
 }
 
-struct Watcher {
+/// A version of the file that was not loaded before, and its content.
+struct LoadedFile {
+    version: FileVersion,
+    hosts: Result<Vec<Endpoint>, InventoryError>,
+}
+
+/// Checks the file for changes, apart from the watcher: a file that hangs delays no answer to the
+/// core.
+struct FileChecker {
     path: PathBuf,
     localities: Vec<String>,
+    reader: BackgroundReader,
+    log: LogLimit,
+}
+
+struct Watcher {
+    path: PathBuf,
     core: mpsc::Sender<CoreMessage>,
-    /// The version of the file that was loaded last, whether or not it was valid.
-    loaded_version: Option<FileVersion>,
     /// The last valid list.
     hosts: Option<Vec<Endpoint>>,
 }
@@ -47,25 +65,41 @@
     mut commands: mpsc::Receiver<DiscoveryCommand>,
     core: mpsc::Sender<CoreMessage>,
 ) {
+    let checker = FileChecker {
+        path: path.clone(),
+        localities,
+        reader: BackgroundReader::default(),
+        log: LogLimit::new(),
+    };
     let mut watcher = Watcher {
         path,
-        localities,
         core,
-        loaded_version: None,
         hosts: None,
     };
-    let mut check_timer = interval(CHECK_INTERVAL);
+    let (loads_sender, mut loads) = mpsc::channel(1);
+    tokio::spawn(checker.run(loads_sender));
+    // a request that comes before the file has been read is answered then
+    let mut is_first_read = true;
+    let mut is_requested = false;
     loop {
-        let is_requested = tokio::select! {
-            _ = check_timer.tick() => false,
+        let is_changed = tokio::select! {
+            loaded = loads.recv() => {
+                is_first_read = false;
+                loaded.flatten().is_some_and(|loaded| watcher.apply(loaded))
+            }
             command = commands.recv() => match command {
-                Some(command) => requests_list(&command),
+                Some(command) => {
+                    is_requested |= requests_list(&command);
+                    false
+                }
                 None => return,
             },
         };
-        let is_changed = watcher.reload_if_changed();
-        if (is_requested || is_changed) && watcher.report().await.is_err() {
-            return;
+        if is_changed || (is_requested && !is_first_read) {
+            is_requested = false;
+            if watcher.report().await.is_err() {
+                return;
+            }
         }
     }
 }
@@ -81,16 +115,61 @@
     }
 }
 
-impl Watcher {
-    /// Loads the file if it has changed; whether there is another valid list since.
-    fn reload_if_changed(&mut self) -> bool {
-        let version = FileVersion::of(&self.path);
-        if self.loaded_version == Some(version) {
-            return false;
+impl FileChecker {
+    /// Sends each version of the file that is read, and `None` for a read that was given up, until
+    /// the watcher ends.
+    async fn run(self, loads: mpsc::Sender<Option<LoadedFile>>) {
+        let mut loaded_version = None;
+        let mut timer = interval(CHECK_INTERVAL);
+        timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            timer.tick().await;
+            let result = match self.read_if_changed(loaded_version).await {
+                Ok(None) => continue,
+                Ok(Some(loaded)) => {
+                    loaded_version = Some(loaded.version);
+                    Some(loaded)
+                }
+                Err(abandoned) => {
+                    self.log_abandoned(&abandoned);
+                    None
+                }
+            };
+            if loads.send(result).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Reads the file on a thread of its own, if it has changed.
+    async fn read_if_changed(
+        &self,
+        loaded_version: Option<FileVersion>,
+    ) -> Result<Option<LoadedFile>, ReadAbandoned> {
+        let (path, localities) = (self.path.clone(), self.localities.clone());
+        let read = move || {
+            let version = FileVersion::of(&path);
+            (loaded_version != Some(version)).then(|| LoadedFile {
+                version,
+                hosts: super::load(&path, &localities),
+            })
+        };
+        self.reader.read(READ_TIMEOUT, read).await
+    }
+
+    fn log_abandoned(&self, abandoned: &ReadAbandoned) {
+        if let Some(omitted) = self.log.admit(Instant::now()) {
+            let path = self.path.display();
+            warn!("{path}: {abandoned}; the last valid list stays in use{omitted}");
         }
-        self.loaded_version = Some(version);
+    }
+}
+
+impl Watcher {
+    /// Takes over a file that was read; whether there is another valid list since.
+    fn apply(&mut self, loaded: LoadedFile) -> bool {
         let path = self.path.display();
-        match super::load(&self.path, &self.localities) {
+        match loaded.hosts {
             Ok(hosts) if self.hosts.as_ref() == Some(&hosts) => false,
             Ok(hosts) => {
                 info!("{path}: {} hosts", hosts.len());
--- a/src/router/open/actors.rs
+++ b/src/router/open/actors.rs
@@ -24,6 +24,7 @@
 use crate::ops::maintenance_state::MaintenanceState;
 use crate::ops::metrics::Metrics;
 use crate::router::Reloader;
+use crate::storage::BackgroundReader;
 
 /// Commands to the source of the endpoint list that wait at most.
 const DISCOVERY_QUEUE_LENGTH: usize = 4;
@@ -105,6 +106,7 @@
             config_file,
             discovery: self.has_discovery.then(|| self.discovery.clone()),
             edge: self.edge.clone(),
+            reader: BackgroundReader::default(),
         }
     }
 }
--- a/src/router/run.rs
+++ b/src/router/run.rs
@@ -1,6 +1,8 @@
 //! Runs a router as a process: the runtime and the signals. SIGTERM and SIGINT start the graceful
 //! shutdown, SIGHUP reads the configuration anew.
 
+use std::time::Duration;
+
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tracing::info;
@@ -8,13 +10,19 @@
 use super::{Reloader, RouterOptions, open};
 use crate::error::RunError;
 
+/// How long the end of the process waits for blocking calls, such as the look-up of a name.
+const BLOCKING_CALLS_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Runs a router until SIGTERM, and until all accepted requests are answered.
 pub fn run(options: RouterOptions) -> Result<(), RunError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(RunError::System)?;
-    runtime.block_on(run_until_shutdown(options))
+    let result = runtime.block_on(run_until_shutdown(options));
+    // nothing that is owed is on its threads any more, and a call there may hang
+    runtime.shutdown_timeout(BLOCKING_CALLS_TIMEOUT);
+    result
 }
 
 async fn run_until_shutdown(options: RouterOptions) -> Result<(), RunError> {
@@ -46,8 +54,15 @@
     std::future::pending::<()>().await;
 }
 
+/// Reloads at each signal. A further one while the files are read begins anew: they may have changed
+/// since, or what was there may hang.
 async fn reload_on_hangup(mut hangup: Signal, reloader: Reloader) {
-    while hangup.recv().await.is_some() {
-        reloader.reload().await;
+    let mut is_due = hangup.recv().await.is_some();
+    while is_due {
+        is_due = tokio::select! {
+            biased;
+            signal = hangup.recv() => signal.is_some(),
+            () = reloader.reload() => hangup.recv().await.is_some(),
+        };
     }
 }
--- a/src/storage/mod.rs
+++ b/src/storage/mod.rs
@@ -1,8 +1,9 @@
 //! Durable files on a file system whose calls may fail for a while: the calls as traits, atomic
-//! replacement of a small file, and a writer that retries until the latest state is on disk. What
-//! the files contain belongs to the callers.
+//! replacement of a small file, a writer that retries until the latest state is on disk, and reads
+//! that may hang. What the files contain belongs to the callers.
 
 pub mod atomic_file;
+pub mod background_reader;
 pub mod background_writer;
 mod disk;
 pub mod file_system;
@@ -13,6 +14,7 @@
 pub(crate) mod simulated_disk;
 
 pub use atomic_file::{AtomicFile, WriteError};
+pub use background_reader::{BackgroundReader, ReadAbandoned};
 pub use background_writer::{BackgroundWriter, NotWritten, Version, WriteFailure};
 pub use disk::Disk;
 pub use file_system::{FileSystem, OpenFile};
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -43,8 +43,18 @@
 /// Starts the program with a configuration file and waits until it serves; its address and the rest
 /// of its log.
 pub async fn serve(file: &Scratch) -> (Running, String, BufReader<std::process::ChildStderr>) {
-    let mut child = program()
-        .args(["serve", "--config"])
+    let mut command = program();
+    command.arg("serve");
+    serve_command(command, file).await
+}
+
+/// The same with a command that lacks only the configuration file.
+pub async fn serve_command(
+    mut command: Command,
+    file: &Scratch,
+) -> (Running, String, BufReader<std::process::ChildStderr>) {
+    let mut child = command
+        .arg("--config")
         .arg(&file.0)
         .stderr(Stdio::piped())
         .spawn()
