A maintenance file that hangs at the start is given up after 2 s, and its copy is used

What callers saw: nothing at all. A process whose `stilespan.orders` could not be read to its end never served, and SIGTERM did not end it.

Cause: the read at the start had no limit in time. Errors were retried for half a second; a read that returns nothing was awaited for ever. Found while the kin of the files that hang were checked.

Change: the read goes through `storage::BackgroundReader`, for 2 s at most, and is not repeated then. The copy is used as for any other unreadable file. Price: with both files hanging the process starts after 4 s without exclusions, and says so.

Evidence: tests/maintenance_state.rs::copy_replaces_a_hanging_file did not return within 20 minutes before, and passes in 2.5 s now.

--- a/src/net/handover/maintenance_file.rs
+++ b/src/net/handover/maintenance_file.rs
@@ -11,7 +11,7 @@
 
 use crate::backoff::Backoff;
 use crate::ops::maintenance_state::{MaintenanceState, ParseError};
-use crate::storage::{AtomicFile, FileSystem};
+use crate::storage::{AtomicFile, BackgroundReader, FileSystem};
 
 /// Attempts to read a file, about half a second in all. A router without its exclusions sends
 /// requests to model servers in maintenance; one that starts later than that serves nobody.
@@ -20,6 +20,8 @@
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// The longest such wait.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// How long a read may take: longer, and the process would serve nobody for its sake.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// A folder with an entry for each running process, named by its id.
 const PROCESS_FOLDER: &str = "/proc";
 
@@ -72,7 +74,10 @@
         match read_once(path, file_system).await {
             Ok(text) => return Ok(Some(MaintenanceState::parse(&text)?)),
             Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
-            Err(error) if attempts == READ_ATTEMPTS => return Err(error.into()),
+            // one that hangs does so again
+            Err(error) if attempts == READ_ATTEMPTS || error.kind() == ErrorKind::TimedOut => {
+                return Err(error.into());
+            }
             Err(_) => attempts += 1,
         }
         sleep(backoff.next_delay()).await;
@@ -81,9 +86,10 @@
 
 async fn read_once(path: &Path, file_system: &Arc<dyn FileSystem>) -> io::Result<Vec<u8>> {
     let (path, file_system) = (path.to_path_buf(), file_system.clone());
-    tokio::task::spawn_blocking(move || file_system.read(&path))
+    BackgroundReader::default()
+        .read(READ_TIMEOUT, move || file_system.read(&path))
         .await
-        .unwrap_or_else(|e| Err(io::Error::other(e)))
+        .unwrap_or_else(|abandoned| Err(io::Error::new(ErrorKind::TimedOut, abandoned)))
 }
 
 /// Removes the temporary files of processes that were killed while they wrote: those named after a
--- a/tests/maintenance_state.rs
+++ b/tests/maintenance_state.rs
@@ -4,6 +4,8 @@
 
 use std::fs;
 use std::net::TcpListener;
+use std::process::Command;
+use std::time::Duration;
 
 use common::folder::Folder;
 use common::peers::*;
@@ -95,3 +97,16 @@
     }
     assert_eq!((a.requests(), b.requests()), (0, 10));
 }
+
+/// A FIFO without a writer stands for a file on a disk that doesn't answer.
+#[tokio::test]
+async fn copy_replaces_a_hanging_file() {
+    let folder = Folder::new();
+    let status = Command::new("mkfifo").arg(folder.path(FILE)).status();
+    assert!(status.unwrap().success());
+    fs::write(folder.path(COPY), EXCLUSION_OF_A).unwrap();
+    let started = tokio::time::timeout(Duration::from_secs(8), router(&folder)).await;
+    let (router, a, b) = started.expect("the start does not wait for the file");
+    assert_eq!(ask(&router.platform, "hint", 1500).await.head.status, 200);
+    assert_eq!((a.requests(), b.requests()), (0, 1));
+}
