Reading from clients is bounded: bodies that are ready all the time delay nobody

What callers saw: beside 24 clients that send bodies far over the limit, 200 of 430 requests of 16 ordinary clients were served and the others rejected; beside 24 that send chunks of one byte none was served, 16 were rejected and 32 got no answer within 0.5 s of their deadline.

Cause: all connections share one thread, and a message was read for as long as its bytes were ready (`next_part`, `read_more`, `discard_some`). A turn ended only with the runtime's budget of 128 calls, up to 2 MB. With one-byte chunks each chunk was copied for itself, twice.

Ruled out: the load of the machine (the same bodies to another process: all ordinary requests served), other steps of a request (health checks, 404, large heads, whole bodies of 240 KB and short connections in a loop delay nobody).

A request that waits for its turn is answered in time. Chunks are decoded in place. What concerns the arrival of a request, and the request that arrives, has modules of its own now.

--- a/src/net/http/body.rs
+++ b/src/net/http/body.rs
@@ -29,15 +29,23 @@
     Complete,
 }
 
-/// The result of a step of the decoder.
+/// The result of a step of the decoder on bytes that have arrived.
 enum Decoded {
-    Bytes(Bytes),
-    /// Framing was taken off the buffer; there may be more.
-    Framing,
-    /// The buffer ends within what comes next.
+    /// So many of the first bytes are the body's; framing of `framing` bytes follows them.
+    Data { length: usize, framing: usize },
+    /// So many of the first bytes are framing; there may be more.
+    Framing(usize),
+    /// The bytes end within what comes next.
     NeedsMore,
 }
 
+impl Decoded {
+    /// Bytes of the body without framing behind them.
+    fn data(length: usize) -> Decoded {
+        Decoded::Data { length, framing: 0 }
+    }
+}
+
 /// Decodes a body from the buffer, piece by piece.
 #[derive(Clone, Copy, Debug)]
 pub struct Body {
@@ -86,31 +94,68 @@
     /// read.
     pub fn take_buffered(&mut self, buffer: &mut Buffer) -> Result<Option<Bytes>, HttpError> {
         loop {
-            match self.decode(buffer)? {
-                Decoded::Bytes(bytes) => return Ok(Some(bytes)),
-                Decoded::Framing => {}
+            match self.decode(buffer.bytes())? {
+                Decoded::Data { length, framing } => {
+                    let bytes = buffer.copy_out(length);
+                    buffer.skip(framing);
+                    return Ok(Some(bytes));
+                }
+                Decoded::Framing(length) => buffer.skip(length),
                 Decoded::NeedsMore => return Ok(None),
             }
         }
     }
 
-    fn decode(&mut self, buffer: &mut Buffer) -> Result<Decoded, HttpError> {
-        let available = buffer.bytes().len();
+    /// Passes on all bytes of the body that are in the buffer, without framing. Chunks may be as
+    /// small as a byte, so none is copied for itself.
+    pub fn drain_buffered(
+        &mut self,
+        buffer: &mut Buffer,
+        mut pass_on: impl FnMut(&[u8]),
+    ) -> Result<(), HttpError> {
+        let mut decoded = 0;
+        let result = self.decode_all(buffer.bytes(), &mut decoded, &mut pass_on);
+        buffer.skip(decoded);
+        result
+    }
+
+    /// Decodes as many bytes as it can, counts them and passes the body's on.
+    fn decode_all(
+        &mut self,
+        bytes: &[u8],
+        decoded: &mut usize,
+        pass_on: &mut impl FnMut(&[u8]),
+    ) -> Result<(), HttpError> {
+        loop {
+            let next = &bytes[*decoded..];
+            match self.decode(next)? {
+                Decoded::Data { length, framing } => {
+                    pass_on(&next[..length]);
+                    *decoded += length + framing;
+                }
+                Decoded::Framing(length) => *decoded += length,
+                Decoded::NeedsMore => return Ok(()),
+            }
+        }
+    }
+
+    fn decode(&mut self, bytes: &[u8]) -> Result<Decoded, HttpError> {
+        let available = bytes.len();
         match self.state {
             State::Complete => Ok(Decoded::NeedsMore),
             _ if available == 0 => Ok(Decoded::NeedsMore),
-            State::UntilClose => Ok(Decoded::Bytes(buffer.copy_out(available))),
+            State::UntilClose => Ok(Decoded::data(available)),
             State::Length { remaining } => {
                 let count = remaining.min(available as u64);
                 self.state = match remaining - count {
                     0 => State::Complete,
                     remaining => State::Length { remaining },
                 };
-                Ok(Decoded::Bytes(buffer.copy_out(count as usize)))
+                Ok(Decoded::data(count as usize))
             }
-            State::ChunkSize => self.decode_chunk_size(buffer),
+            State::ChunkSize => self.decode_chunk_size(bytes),
             State::ChunkData { remaining } if self.complete_chunks => {
-                self.decode_complete_chunk(buffer, remaining as usize)
+                self.decode_complete_chunk(bytes, remaining as usize)
             }
             State::ChunkData { remaining } => {
                 let count = remaining.min(available as u64);
@@ -118,10 +163,10 @@
                     0 => State::ChunkEnd,
                     remaining => State::ChunkData { remaining },
                 };
-                Ok(Decoded::Bytes(buffer.copy_out(count as usize)))
+                Ok(Decoded::data(count as usize))
             }
-            State::ChunkEnd => self.decode_chunk_end(buffer),
-            State::Trailer => self.decode_trailer_line(buffer),
+            State::ChunkEnd => self.decode_chunk_end(bytes),
+            State::Trailer => self.decode_trailer_line(bytes),
         }
     }
 
@@ -134,15 +179,24 @@
                 .len()
                 .min(usize::try_from(remaining).unwrap_or(usize::MAX));
         }
+        if buffer.is_empty() {
+            return self.length_at_start_of(next);
+        }
+        let both = buffer.followed_by(next);
+        let length = self.length_at_start_of(both.bytes());
+        length.saturating_sub(buffer.bytes().len())
+    }
+
+    /// How many of the first bytes belong to this body.
+    fn length_at_start_of(&self, bytes: &[u8]) -> usize {
         let mut body = *self;
-        let mut both = buffer.followed_by(next);
-        while let Ok(Some(_)) = body.take_buffered(&mut both) {}
-        let behind = if body.is_complete() {
-            both.bytes().len()
+        let mut decoded = 0;
+        let result = body.decode_all(bytes, &mut decoded, &mut |_| {});
+        if result.is_ok() && body.is_complete() {
+            decoded
         } else {
-            0
-        };
-        next.len().saturating_sub(behind)
+            bytes.len()
+        }
     }
 
     /// The next bytes of the body, read as needed; none at its end. Cancel safe.
--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -8,8 +8,7 @@
 use tokio::time::timeout_at;
 
 use super::ClientConnection;
-use super::receiving::IncomingRequest;
-use super::time_limits::ANSWER_MARGIN;
+use super::incoming_request::IncomingRequest;
 use crate::net::http::{Body, HttpError};
 
 /// Bytes that one permit of the memory for bodies stands for.
@@ -29,9 +28,11 @@
 impl ClientConnection {
     /// The next bytes of an incoming request's body; none at its end. Cancel safe.
     async fn next_part(&mut self, body: &mut Body) -> Result<Option<Bytes>, HttpError> {
+        let mut part = BytesMut::new();
         loop {
-            if let Some(bytes) = body.take_buffered(&mut self.buffer)? {
-                return Ok(Some(bytes));
+            body.drain_buffered(&mut self.buffer, |bytes| part.extend_from_slice(bytes))?;
+            if !part.is_empty() {
+                return Ok(Some(part.freeze()));
             }
             if body.is_complete() {
                 return Ok(None);
@@ -53,6 +54,9 @@
         memory: &Arc<Semaphore>,
         max_wait: Option<Duration>,
     ) -> Result<ReceivedBody, HttpError> {
+        if let Some(incoming) = &mut self.incoming {
+            incoming.max_wait = max_wait;
+        }
         let mut received = BytesMut::new();
         let mut reserved: Option<OwnedSemaphorePermit> = None;
         while let Some(bytes) = self.next_part(body).await? {
@@ -63,9 +67,7 @@
             let needed = received.len().div_ceil(BYTES_PER_PERMIT);
             let missing = needed - reserved.as_ref().map_or(0, |permit| permit.num_permits());
             if missing > 0 {
-                let added = self
-                    .reserve_memory(memory, missing as u32, max_wait)
-                    .await?;
+                let added = self.reserve_memory(memory, missing as u32).await?;
                 match &mut reserved {
                     Some(permit) => permit.merge(added),
                     None => reserved = Some(added),
@@ -79,46 +81,29 @@
         })
     }
 
-    /// The earliest instant at which the bytes that were read last may have arrived. Bytes behind
-    /// them may be waiting in the system since then.
-    fn mark_end_of_request(&mut self) -> Instant {
-        let now = Instant::now();
-        let earliest = self.context.heartbeat.earliest_arrival(now);
-        let received_at = self
-            .unread_since
-            .map_or(earliest, |since| since.min(earliest));
-        self.unread_since = Some(received_at);
-        let unread = now.saturating_duration_since(received_at).as_secs_f64();
-        self.context.metrics.clients().record_unread(unread);
-        received_at
-    }
-
     /// Reserves memory for a body. The rest of the body may arrive unread during the wait.
     async fn reserve_memory(
         &mut self,
         memory: &Arc<Semaphore>,
         permits: u32,
-        max_wait: Option<Duration>,
     ) -> Result<OwnedSemaphorePermit, HttpError> {
         if let Ok(reserved) = memory.clone().try_acquire_many_owned(permits) {
             return Ok(reserved);
         }
         let now = Instant::now();
         let since = *self.unread_since.get_or_insert(now);
-        let Some(IncomingRequest { idle, deadline }) = &mut self.incoming else {
+        let Some(incoming) = &mut self.incoming else {
             return Err(HttpError::ConnectionClosed);
         };
-        let deadline = max_wait.map_or(*deadline, |wait| {
-            (*deadline).min(since + wait.saturating_sub(ANSWER_MARGIN))
-        });
-        let reserved = timeout_at(deadline.into(), memory.clone().acquire_many_owned(permits));
+        let answer_by = incoming.answer_by(since);
+        let reserved = timeout_at(answer_by.into(), memory.clone().acquire_many_owned(permits));
         tokio::select! {
             biased;
             reserved = reserved => reserved
                 .map_err(|_| HttpError::NoCapacity)?
                 .map_err(|_| HttpError::ConnectionClosed),
             // its descriptor is needed too
-            () = idle.evicted() => Err(HttpError::NoCapacity),
+            () = incoming.idle.evicted() => Err(HttpError::NoCapacity),
         }
     }
 
@@ -135,6 +120,7 @@
         self.incoming = Some(IncomingRequest {
             idle,
             deadline: Instant::now() + stall_timeout,
+            max_wait: None,
         });
         self.next_part(body).await
     }
--- a/src/net/listener/client_connection.rs
+++ b/src/net/listener/client_connection.rs
@@ -12,7 +12,8 @@
 use super::acceptor::AcceptedConnection;
 use super::client_socket::{ClientPresence, ClientSocket};
 use super::connection_state::{ConnectionEvent, ConnectionState, RequestOutcome};
-use super::receiving::IncomingRequest;
+use super::incoming_request::IncomingRequest;
+use super::read_pacing::ReadPacing;
 use super::time_limits::{ClientTimeouts, MAX_PIPELINED_BURST, WRITE_TIMEOUT};
 use crate::net::connection_limit::ConnectionPermit;
 use crate::net::http::{Buffer, Head, HttpError};
@@ -32,6 +33,8 @@
     pub(super) incoming: Option<IncomingRequest>,
     /// Since when there may be bytes that have arrived and were not read, if there may be any.
     pub(super) unread_since: Option<Instant>,
+    /// The time that the current message takes.
+    pub(super) pacing: ReadPacing,
     /// Requests in a row that had arrived before the answer to the one before them was written.
     pub(super) pipelined_requests: u32,
     /// When the last request finished.
@@ -55,6 +58,7 @@
             opened_at: Some(Instant::now()),
             incoming: None,
             unread_since: Some(accepted.unread_since),
+            pacing: ReadPacing::default(),
             pipelined_requests: 0,
             last_answer_at: None,
             _permit: accepted.permit,
--- a/src/net/listener/closing.rs
+++ b/src/net/listener/closing.rs
@@ -1,10 +1,13 @@
 //! Closes a client's connection without losing its last answer (a lingering close).
 
+use std::time::Instant;
+
 use tracing::debug;
 
 use super::ClientConnection;
 use super::client_socket::ClientSocket;
 use super::connection_state::ConnectionEvent;
+use super::read_pacing::{NextTurn, ReadPacing, ReadSchedule};
 use super::time_limits::{
     EVICTED_CLOSE_TIMEOUT, LINGERING_CLOSE_EXTENSION, LINGERING_CLOSE_TIMEOUT,
 };
@@ -43,9 +46,13 @@
             last_answer_at.is_some_and(|at| at.elapsed() < LINGERING_CLOSE_TIMEOUT);
         let is_request_next = matches!(remainder, UnreadRemainder::Nothing);
         let socket = &self.socket;
+        let schedule = self.context.read_schedule.clone();
         let (buffer, mut remainder) = (&mut self.buffer, remainder);
+        let pacing = &mut self.pacing;
         let closed_by_client = async {
-            while discard_some(socket, buffer, &mut remainder).await {}
+            while discard_some(socket, buffer, &mut remainder, pacing).await {
+                wait_for_turn(pacing, &schedule).await;
+            }
             socket.wait_for_close().await;
         };
         let timed_out = async {
@@ -73,30 +80,38 @@
     }
 }
 
+/// Lets others run before more is discarded.
+async fn wait_for_turn(pacing: &mut ReadPacing, schedule: &ReadSchedule) {
+    match pacing.next_turn(Instant::now(), schedule) {
+        NextTurn::Now => {}
+        NextTurn::Yield => tokio::task::yield_now().await,
+        NextTurn::At(turn_at) => tokio::time::sleep_until(turn_at.into()).await,
+    }
+}
+
 /// Reads and drops some of the rest of an answered request; whether there may be more.
 async fn discard_some(
     socket: &ClientSocket,
     buffer: &mut Buffer,
     remainder: &mut UnreadRemainder,
+    pacing: &mut ReadPacing,
 ) -> bool {
     match remainder {
         UnreadRemainder::Nothing => return false,
         UnreadRemainder::Unframed => buffer.skip(buffer.bytes().len()),
-        UnreadRemainder::Body(body) => loop {
-            match body.take_buffered(buffer) {
-                Ok(Some(_)) => {}
-                Ok(None) if body.is_complete() => return false,
-                Ok(None) => break,
-                Err(_) => {
-                    *remainder = UnreadRemainder::Unframed;
-                    return true;
-                }
+        UnreadRemainder::Body(body) => match body.drain_buffered(buffer, |_| {}) {
+            Ok(()) if body.is_complete() => return false,
+            Ok(()) => {}
+            Err(_) => {
+                *remainder = UnreadRemainder::Unframed;
+                return true;
             }
         },
     }
     if !socket.readable().await {
         return false;
     }
+    pacing.resume(Instant::now());
     let read = match remainder {
         UnreadRemainder::Body(body) => {
             socket.read_message(buffer, |buffer, next| body.length_in(buffer, next))
--- a/src/net/listener/context.rs
+++ b/src/net/listener/context.rs
@@ -9,8 +9,8 @@
 
 use tokio::sync::watch;
 
-use super::Heartbeat;
 use super::time_limits::MAX_SCHEDULING_DELAY;
+use super::{Heartbeat, ReadSchedule};
 use crate::lifecycle::DrainingSince;
 use crate::net::connection_limit::ConnectionLimit;
 use crate::ops::metrics::Metrics;
@@ -50,6 +50,8 @@
     pub drained: watch::Receiver<DrainingSince>,
     /// Notices when the process was not scheduled.
     pub heartbeat: Arc<Heartbeat>,
+    /// The share of the time for messages that take long to read.
+    pub read_schedule: Arc<ReadSchedule>,
     /// Counts connections and late answers.
     pub metrics: Arc<Metrics>,
 }
--- a/src/net/listener/mod.rs
+++ b/src/net/listener/mod.rs
@@ -6,6 +6,7 @@
 //! (`net::downstream` and `batch::http_api`).
 
 mod acceptor;
+mod arrival;
 mod body;
 mod client_connection;
 mod client_socket;
@@ -13,6 +14,8 @@
 mod connection_state;
 mod context;
 mod heartbeat;
+mod incoming_request;
+mod read_pacing;
 mod receiving;
 mod time_limits;
 
@@ -34,6 +37,7 @@
 pub use connection_state::RequestOutcome;
 pub use context::{ListenerContext, wait_until_set};
 pub use heartbeat::Heartbeat;
+pub use read_pacing::ReadSchedule;
 pub use receiving::NextRequest;
 pub use time_limits::{ClientTimeouts, REQUEST_CUTOFF_AFTER_SHUTDOWN};
 
--- a/src/net/listener/receiving.rs
+++ b/src/net/listener/receiving.rs
@@ -7,8 +7,10 @@
 
 use super::ClientConnection;
 use super::connection_state::ConnectionEvent;
+use super::incoming_request::IncomingRequest;
+use super::read_pacing::NextTurn;
 use super::time_limits::{
-    ARRIVAL_RESOLUTION, IDLE_CLOSE_AFTER_DRAIN, PIPELINING_DELAY, READ_CUTOFF_AFTER_SHUTDOWN,
+    IDLE_CLOSE_AFTER_DRAIN, PIPELINING_DELAY, READ_CUTOFF_AFTER_SHUTDOWN,
     REQUEST_CUTOFF_AFTER_DRAIN, REQUEST_CUTOFF_AFTER_SHUTDOWN,
 };
 use crate::net::connection_limit::IdleConnection;
@@ -16,13 +18,6 @@
 use crate::net::stream::StreamState;
 use crate::ops::metrics::ConnectionEnd;
 
-/// A request that arrives. Its connection may be evicted.
-pub(super) struct IncomingRequest {
-    pub(super) idle: IdleConnection,
-    /// When the request is late.
-    pub(super) deadline: Instant,
-}
-
 /// The result of waiting for the next request.
 pub enum NextRequest {
     /// The request's head.
@@ -59,7 +54,9 @@
         self.incoming = Some(IncomingRequest {
             idle,
             deadline: opened_at.unwrap_or(now) + self.timeouts.request,
+            max_wait: None,
         });
+        self.pacing.begin_message();
         self.read_head().await
     }
 
@@ -149,10 +146,11 @@
         &mut self,
         span: impl Fn(&Buffer, &[u8]) -> usize,
     ) -> Result<(), HttpError> {
+        self.wait_for_turn().await?;
         self.clear_unread_since();
         let mut shutdown = self.context.clone();
         let mut drain = self.context.clone();
-        let Some(IncomingRequest { idle, deadline }) = &mut self.incoming else {
+        let Some(IncomingRequest { idle, deadline, .. }) = &mut self.incoming else {
             return Err(HttpError::ConnectionClosed);
         };
         let began = deadline
@@ -166,6 +164,7 @@
                     if !readable {
                         return Err(HttpError::ConnectionClosed);
                     }
+                    self.pacing.resume(Instant::now());
                     if self.socket.read_message(&mut self.buffer, &span)? > 0 {
                         return self.check_read_cutoff();
                     }
@@ -191,12 +190,46 @@
                 return Err(end);
             }
             idle.decline_eviction();
+            self.pacing.resume(Instant::now());
             if self.socket.read_message(&mut self.buffer, &span)? > 0 {
                 return self.check_read_cutoff();
             }
         }
     }
 
+    /// Lets others run before more of a message is read that takes long. The rest of it may arrive
+    /// meanwhile; the wait ends in time for an answer.
+    async fn wait_for_turn(&mut self) -> Result<(), HttpError> {
+        let now = Instant::now();
+        let turn_at = match self.pacing.next_turn(now, &self.context.read_schedule) {
+            NextTurn::Now => return Ok(()),
+            NextTurn::Yield => {
+                tokio::task::yield_now().await;
+                return Ok(());
+            }
+            NextTurn::At(turn_at) => turn_at,
+        };
+        let unread_since = *self.unread_since.get_or_insert(now);
+        let Some(incoming) = &self.incoming else {
+            return Err(HttpError::ConnectionClosed);
+        };
+        let answer_by = incoming.answer_by(unread_since);
+        let mut shutdown = self.context.clone();
+        let ended = tokio::select! {
+            biased;
+            () = shutdown.wait_after_shutdown_signal(REQUEST_CUTOFF_AFTER_SHUTDOWN) => {
+                HttpError::Timeout
+            }
+            () = tokio::time::sleep_until(turn_at.min(answer_by).into()) => {
+                if turn_at <= answer_by {
+                    return Ok(());
+                }
+                HttpError::NoCapacity
+            }
+        };
+        Err(ended)
+    }
+
     /// Fails if what has just been read is too late to be served. Checked after the read: the
     /// process may not have been scheduled for some time before it.
     fn check_read_cutoff(&self) -> Result<(), HttpError> {
@@ -206,27 +239,4 @@
             Ok(())
         }
     }
-
-    /// Asks the system when the bytes came that a new connection has brought. The accept queue alone
-    /// tells only that it was not empty, which in a flood of connections it never is: requests that
-    /// came just now would be taken for expired.
-    fn narrow_unread_since(&mut self) {
-        let Some(since) = self.unread_since else {
-            return;
-        };
-        let arrived = self
-            .socket
-            .time_since_last_data()
-            .and_then(|age| Instant::now().checked_sub(age + ARRIVAL_RESOLUTION));
-        if let Some(arrived) = arrived {
-            self.unread_since = Some(since.max(arrived));
-        }
-    }
-
-    /// Notes if nothing is unread: what is read later has not arrived yet.
-    pub(super) fn clear_unread_since(&mut self) {
-        if self.unread_since.is_some() && self.socket.state() == StreamState::Quiet {
-            self.unread_since = None;
-        }
-    }
 }
--- a/src/router/open/listeners.rs
+++ b/src/router/open/listeners.rs
@@ -11,7 +11,7 @@
 use crate::error::RunError;
 use crate::lifecycle::DrainingSince;
 use crate::net::handover::{LimitShares, Rendezvous};
-use crate::net::listener::{Heartbeat, ListenerContext};
+use crate::net::listener::{Heartbeat, ListenerContext, ReadSchedule};
 use crate::ops::metrics::Metrics;
 use crate::router::InheritedListener;
 
@@ -90,6 +90,7 @@
         replaced: successor_serving.subscribe(),
         drained: drain.subscribe(),
         heartbeat: Arc::new(Heartbeat::new(Instant::now())),
+        read_schedule: Arc::new(ReadSchedule::new(Instant::now())),
         metrics,
     }
 }
