--- a/src/net/listener/acceptor.rs
+++ b/src/net/listener/acceptor.rs
@@ -137,8 +137,6 @@
             () = shutdown.wait_after_shutdown_signal(REQUEST_CUTOFF_AFTER_SHUTDOWN) => None,
         };
         let permit = permit?;
-        let waited = self.queue_empty_at.elapsed().as_secs_f64();
-        self.context.metrics.clients().record_accept_wait(waited);
         Some(AcceptedConnection {
             stream,
             permit,
--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -120,6 +120,7 @@
         self.incoming = Some(IncomingRequest {
             idle,
             deadline: Instant::now() + stall_timeout,
+            bytes: 0,
             max_wait: None,
         });
         self.next_part(body).await
--- a/src/net/listener/incoming_request.rs
+++ b/src/net/listener/incoming_request.rs
@@ -10,6 +10,8 @@
     pub(super) idle: IdleConnection,
     /// When the request is late.
     pub(super) deadline: Instant,
+    /// The bytes of it that were read, head included.
+    pub(super) bytes: usize,
     /// How long its client waits for the answer, if that is known.
     pub(super) max_wait: Option<Duration>,
 }
--- a/src/net/listener/receiving.rs
+++ b/src/net/listener/receiving.rs
@@ -54,6 +54,7 @@
         self.incoming = Some(IncomingRequest {
             idle,
             deadline: opened_at.unwrap_or(now) + self.timeouts.request,
+            bytes: 0,
             max_wait: None,
         });
         self.pacing.begin_message();
@@ -150,9 +151,15 @@
         self.clear_unread_since();
         let mut shutdown = self.context.clone();
         let mut drain = self.context.clone();
-        let Some(IncomingRequest { idle, deadline, .. }) = &mut self.incoming else {
+        let Some(incoming) = &mut self.incoming else {
             return Err(HttpError::ConnectionClosed);
         };
+        let IncomingRequest {
+            idle,
+            deadline,
+            bytes,
+            ..
+        } = incoming;
         let began = deadline
             .checked_sub(self.timeouts.request)
             .unwrap_or(*deadline);
@@ -165,7 +172,9 @@
                         return Err(HttpError::ConnectionClosed);
                     }
                     self.pacing.resume(Instant::now());
-                    if self.socket.read_message(&mut self.buffer, &span)? > 0 {
+                    let read = self.socket.read_message(&mut self.buffer, &span)?;
+                    if read > 0 {
+                        *bytes += read;
                         return self.check_read_cutoff();
                     }
                     continue;
@@ -191,7 +200,9 @@
             }
             idle.decline_eviction();
             self.pacing.resume(Instant::now());
-            if self.socket.read_message(&mut self.buffer, &span)? > 0 {
+            let read = self.socket.read_message(&mut self.buffer, &span)?;
+            if read > 0 {
+                *bytes += read;
                 return self.check_read_cutoff();
             }
         }
--- a/src/net/listener/time_limits.rs
+++ b/src/net/listener/time_limits.rs
@@ -55,6 +55,10 @@
 /// The system's clock for the arrival of data may be so much coarser than ours.
 pub(super) const ARRIVAL_RESOLUTION: Duration = Duration::from_millis(10);
 
+/// A request of this size fits into the system's buffer of any connection, so that all of it arrives
+/// whether or not this process runs.
+pub(super) const MAX_BUFFERED_REQUEST_BYTES: usize = 16 << 10;
+
 /// A request that waits for memory is rejected so long before its deadline: its client is to have
 /// the answer by then.
 pub(super) const ANSWER_MARGIN: Duration = Duration::from_millis(3);
--- a/src/ops/metrics/client_side.rs
+++ b/src/ops/metrics/client_side.rs
@@ -73,7 +73,7 @@
             )?,
             accept_wait_seconds: histogram(
                 "router_accept_wait_seconds",
-                "Longest time for which a connection may have waited to be accepted.",
+                "Longest time for which a new connection may have waited to be accepted and served.",
             )?,
             late_seconds: histogram("router_late_seconds", "Lateness of late answers.")?,
             late_answers: counters(
@@ -95,7 +95,7 @@
         self.unread_seconds.observe(seconds);
     }
 
-    /// Records the time for which a connection may have been in the accept queue.
+    /// Records the time for which a new connection may have waited until it was served.
     pub fn record_accept_wait(&self, seconds: f64) {
         self.accept_wait_seconds.observe(seconds);
     }
--- a/tests/request_deadlines.rs
+++ b/tests/request_deadlines.rs
@@ -8,6 +8,9 @@
 use common::peers::*;
 use tokio::time::{Instant, sleep, timeout};
 
+/// How long the process is stopped: longer than the request's client waits.
+const STALL: Duration = Duration::from_millis(700);
+
 /// The `X-Expires-In-Ms` of the model server's last request.
 fn forwarded_ms(server: &Peer) -> u64 {
     let seen = server.seen.lock().unwrap();
@@ -77,3 +80,23 @@
         forwarded_ms(&server)
     );
 }
+
+/// A request that comes at the end of a stall has all of its time left, on a connection that was
+/// open before and on a new one.
+#[tokio::test]
+async fn request_after_stalls_keeps_its_time() {
+    let server = peer(|_, _, _| answer("x")).await;
+    let router = route(config(&[("s-a", &server.address, "SERVING")], None)).await;
+    for number in 0..3 {
+        let mut client = Client::new(&router.platform).await;
+        if number > 0 {
+            assert!(client.call(&request("batch-mark", 1000, "")).await.whole);
+        }
+        sleep(Duration::from_millis(200)).await;
+        std::thread::sleep(STALL);
+        // written before the router runs again
+        client.send(&request("batch-mark", 500, "")).await;
+        let got = client.answer().await.expect("an answer");
+        assert_eq!(got.head.status, 200, "request {number}: {got:?}");
+    }
+}
