Signals set a flag that is looked at every 20 ms: none is lost, and none ends the process

Cause: the runtime reports signals by a byte that the handler writes to a socket pair. An interrupted write (EINTR) is ignored there, and the signal stays unseen until another comes. An interrupted read of the pair ends the process ("Bad read on self-pipe").

Ruled out: the shutdown itself (the process's log shows no begin of it), and the injector's choice of calls (it left out exactly this pair until now).

Change: handlers of the `signal-hook` crate set flags, and two tasks look at them every 20 ms. The runtime's signal support is off, so the pair is gone, and the fault injector makes calls on every socket fail. The shutdown's schedule counts from 20 ms earlier. Weighed: a thread in `sigwait`, which needs all other threads to block the signals from their start.

--- a/crates/fault_injector/src/transfers.rs
+++ b/crates/fault_injector/src/transfers.rs
@@ -1,6 +1,5 @@
-//! Reads and writes. Only those on sockets and regular files fail, and none on a socket pair
-//! without addresses: the runtime wakes itself by `eventfd`, and at a signal by such a pair, where
-//! it panics if `recv` fails.
+//! Reads and writes. Only those on sockets and regular files fail: the runtime wakes itself by
+//! `eventfd`.
 
 use std::ffi::{c_int, c_void};
 
--- a/src/net/listener/context.rs
+++ b/src/net/listener/context.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::watch;
 
-use super::time_limits::MAX_SCHEDULING_DELAY;
+use super::time_limits::{MAX_SCHEDULING_DELAY, MAX_SIGNAL_DELAY};
 use super::{Heartbeat, ReadSchedule};
 use crate::lifecycle::DrainingSince;
 use crate::net::connection_limit::ConnectionLimit;
@@ -27,10 +27,13 @@
 
 impl ShutdownSignal {
     fn observed(now: Instant, heartbeat: &Heartbeat) -> ShutdownSignal {
-        let longest_delay = now.checked_sub(MAX_SCHEDULING_DELAY).unwrap_or(now);
+        let before = |delay| now.checked_sub(delay).unwrap_or(now);
+        let earliest = heartbeat
+            .earliest_arrival(now)
+            .min(before(MAX_SIGNAL_DELAY));
         ShutdownSignal {
             observed_at: now,
-            earliest: heartbeat.earliest_arrival(now).max(longest_delay),
+            earliest: earliest.max(before(MAX_SCHEDULING_DELAY)),
         }
     }
 }
--- a/src/net/listener/mod.rs
+++ b/src/net/listener/mod.rs
@@ -39,7 +39,7 @@
 pub use heartbeat::Heartbeat;
 pub use read_pacing::ReadSchedule;
 pub use receiving::NextRequest;
-pub use time_limits::{ClientTimeouts, REQUEST_CUTOFF_AFTER_SHUTDOWN};
+pub use time_limits::{ClientTimeouts, MAX_SIGNAL_DELAY, REQUEST_CUTOFF_AFTER_SHUTDOWN};
 
 /// Connections that the system may queue for each listening socket; it lowers the number to its own
 /// limit (`net.core.somaxconn`, 4096 by default).
--- a/src/net/listener/time_limits.rs
+++ b/src/net/listener/time_limits.rs
@@ -37,6 +37,9 @@
 /// shutdown signal is taken to have come at most this long before it was observed.
 pub(super) const MAX_SCHEDULING_DELAY: Duration = Duration::from_millis(150);
 
+/// A signal is observed at most this long after it came, by a process that runs.
+pub const MAX_SIGNAL_DELAY: Duration = Duration::from_millis(20);
+
 /// A drained router closes its idle connections this long after the drain began. The platform's
 /// front polls `/_health` and may send clients until it has seen the change.
 pub(super) const IDLE_CLOSE_AFTER_DRAIN: Duration = Duration::from_millis(500);
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod open;
 mod reload;
 mod run;
+mod signals;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
