The time between two looks at the signals comes off the shutdown's cutoffs, not off the signal

So that instant is as before, and the cutoffs are 20 ms earlier: 0.58 and 0.63 s, which keeps the margin to 0.7 s. The unit tests, those of the shutdown and those of signals pass.

--- a/src/net/listener/context.rs
+++ b/src/net/listener/context.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::watch;
 
-use super::time_limits::{MAX_SCHEDULING_DELAY, MAX_SIGNAL_DELAY};
+use super::time_limits::MAX_SCHEDULING_DELAY;
 use super::{Heartbeat, ReadSchedule};
 use crate::lifecycle::DrainingSince;
 use crate::net::connection_limit::ConnectionLimit;
@@ -27,13 +27,10 @@
 
 impl ShutdownSignal {
     fn observed(now: Instant, heartbeat: &Heartbeat) -> ShutdownSignal {
-        let before = |delay| now.checked_sub(delay).unwrap_or(now);
-        let earliest = heartbeat
-            .earliest_arrival(now)
-            .min(before(MAX_SIGNAL_DELAY));
+        let longest_delay = now.checked_sub(MAX_SCHEDULING_DELAY).unwrap_or(now);
         ShutdownSignal {
             observed_at: now,
-            earliest: earliest.max(before(MAX_SCHEDULING_DELAY)),
+            earliest: heartbeat.earliest_arrival(now).max(longest_delay),
         }
     }
 }
--- a/src/net/listener/time_limits.rs
+++ b/src/net/listener/time_limits.rs
@@ -25,13 +25,16 @@
 pub(super) const ACCEPT_PERIOD_AFTER_SHUTDOWN: Duration = Duration::from_millis(450);
 
 /// A request that has not arrived completely this long after the shutdown signal is rejected: there
-/// may be no time left to answer one that comes 0.7 s after it, and 0.1 s is a margin.
-pub const REQUEST_CUTOFF_AFTER_SHUTDOWN: Duration = Duration::from_millis(600);
+/// may be no time left to answer one that comes 0.7 s after it. 0.1 s is a margin, and the signal may
+/// have come [`MAX_SIGNAL_DELAY`] before it was observed.
+pub const REQUEST_CUTOFF_AFTER_SHUTDOWN: Duration =
+    Duration::from_millis(600).saturating_sub(MAX_SIGNAL_DELAY);
 
 /// Nothing that is read later than this after the shutdown signal is served. Later than
 /// [`REQUEST_CUTOFF_AFTER_SHUTDOWN`], so that a request that was complete by then can still be
 /// read; but a process that was not scheduled across the cutoff may read what came much later.
-pub(super) const READ_CUTOFF_AFTER_SHUTDOWN: Duration = Duration::from_millis(650);
+pub(super) const READ_CUTOFF_AFTER_SHUTDOWN: Duration =
+    Duration::from_millis(650).saturating_sub(MAX_SIGNAL_DELAY);
 
 /// How long the operating system may leave this process unscheduled at any time. An assumption: the
 /// shutdown signal is taken to have come at most this long before it was observed.
