Why a request is rejected or failed: the decision's own reason in the metrics and the log

What was missing: every rejection read "refused; trying again is harmless", whether admission control shed it, no server was there, or its time was over.

Change: each completion of the decision module names its reason, the core adds its own (limit of requests in flight, expiry, end). `router_unserved{reason}` counts them; once a second the log has one such request with its id, its reason and the time it had left. Decisions, wire forms and the simulator's lines are as they were: the reason decides nothing.

--- a/crates/simulator_adapter/src/reply.rs
+++ b/crates/simulator_adapter/src/reply.rs
@@ -46,11 +46,12 @@
         Action::Reject {
             request,
             retry_after,
+            ..
         } => {
             write!(reply, "REFUSE i={instance} ref={}", request.0)?;
             write_span(reply, "retry-in", retry_after)
         }
-        Action::Fail { request } => write!(reply, "ABORT i={instance} ref={}", request.0),
+        Action::Fail { request, .. } => write!(reply, "ABORT i={instance} ref={}", request.0),
         Action::CheckHealth { replica } => {
             let name = names.name(replica);
             write!(reply, "POLL i={instance} replica={name}")
--- a/crates/simulator_adapter/src/reply/tests.rs
+++ b/crates/simulator_adapter/src/reply/tests.rs
@@ -1,6 +1,6 @@
 //! The line of each action.
 
-use stilespan::interface::{ReplicaId, RequestId, Timestamp};
+use stilespan::interface::{ReplicaId, RequestId, Timestamp, UnservedReason};
 
 use super::*;
 use crate::message::MessageReader;
@@ -8,6 +8,7 @@
 /// Actions of instance 3 on request 5 and replica `replica_a`, each with its line.
 fn actions_with_lines() -> [(Action, &'static str); 9] {
     let (request, replica) = (RequestId(5), ReplicaId::from_name("replica_a"));
+    let (reason, retry_after) = (UnservedReason::Shed, Some(Span::from_millis(250)));
     [
         (
             Action::StartAttempt {
@@ -35,7 +36,8 @@
         (
             Action::Reject {
                 request,
-                retry_after: Some(Span::from_millis(250)),
+                retry_after,
+                reason,
             },
             "REFUSE i=3 ref=5 retry-in=0.250000",
         ),
@@ -43,10 +45,11 @@
             Action::Reject {
                 request,
                 retry_after: None,
+                reason,
             },
             "REFUSE i=3 ref=5",
         ),
-        (Action::Fail { request }, "ABORT i=3 ref=5"),
+        (Action::Fail { request, reason }, "ABORT i=3 ref=5"),
         (
             Action::CheckHealth { replica },
             "POLL i=3 replica=replica_a",
--- a/src/core/actor/actions.rs
+++ b/src/core/actor/actions.rs
@@ -9,7 +9,9 @@
 use crate::core::attempt_history::AttemptHistory;
 use crate::core::request_state::RequestState;
 use crate::core::{Answer, AttemptId, DiscoveryCommand, UpstreamCommand};
-use crate::interface::{Action, Event, HealthCheckEnded, Outcome, ReplicaId, RequestId, Span};
+use crate::interface::{
+    Action, Event, HealthCheckEnded, Outcome, ReplicaId, RequestId, Span, UnservedReason,
+};
 
 impl Core {
     /// Carries out an action of the step that was made at this time.
@@ -26,18 +28,23 @@
             Action::Reject {
                 request,
                 retry_after,
+                reason,
             } => {
                 let retry_after = retry_after.map(Duration::from);
-                self.answer(request, |history| Answer::Rejected {
+                self.answer(request, reason, |history| Answer::Rejected {
                     retry_after,
+                    reason,
+                    forwarded: history.forwarded(),
+                    attempts: history.attempts(),
+                });
+            }
+            Action::Fail { request, reason } => {
+                self.answer(request, reason, |history| Answer::Failed {
+                    reason,
                     forwarded: history.forwarded(),
                     attempts: history.attempts(),
                 });
             }
-            Action::Fail { request } => self.answer(request, |history| Answer::Failed {
-                forwarded: history.forwarded(),
-                attempts: history.attempts(),
-            }),
             Action::CheckHealth { replica } => self.check_health(replica),
             Action::WatchEndpoints => {
                 let _ = self.discovery.try_send(DiscoveryCommand::Watch);
@@ -49,7 +56,12 @@
     }
 
     /// Gives a request its final answer, where it has none yet.
-    fn answer(&mut self, request: RequestId, answer: impl FnOnce(&AttemptHistory) -> Answer) {
+    fn answer(
+        &mut self,
+        request: RequestId,
+        reason: UnservedReason,
+        answer: impl FnOnce(&AttemptHistory) -> Answer,
+    ) {
         let Some(in_flight) = self.requests.get_mut(&request) else {
             return;
         };
@@ -57,14 +69,16 @@
             if in_flight.interactive {
                 self.load.record_rejection();
             }
+            self.metrics.record_unserved(reason);
             let answer = answer(&in_flight.history);
             let verdict = match answer {
                 Answer::Rejected { .. } => "rejected",
                 _ => "failed",
             };
             trace!(
-                "request {}: {verdict} after {} attempts",
+                "request {}: {verdict} ({}) after {} attempts",
                 request.0,
+                reason.label(),
                 in_flight.history.attempts()
             );
             let _ = answer_sender.send(answer);
--- a/src/core/actor/requests.rs
+++ b/src/core/actor/requests.rs
@@ -11,7 +11,7 @@
 use crate::core::in_flight_request::InFlightRequest;
 use crate::core::request_state::RequestState;
 use crate::core::{Answer, Request, RequestAttributes};
-use crate::interface::{Arrival, Event, Outcome, RequestId, Span, Timestamp};
+use crate::interface::{Arrival, Event, Outcome, RequestId, Span, Timestamp, UnservedReason};
 
 /// The attributes of a request that the decision module gets.
 fn arrival(request: RequestId, attributes: &RequestAttributes, expires_at: Timestamp) -> Arrival {
@@ -43,8 +43,10 @@
     ) {
         if self.requests.len() >= self.max_requests_in_flight {
             // As on the platform, the decision module is not notified of requests beyond the limit.
+            self.metrics.record_unserved(UnservedReason::InFlightLimit);
             let _ = answer_sender.send(Answer::Rejected {
                 retry_after: None,
+                reason: UnservedReason::InFlightLimit,
                 forwarded: false,
                 attempts: 0,
             });
--- a/src/core/actor/timers.rs
+++ b/src/core/actor/timers.rs
@@ -9,7 +9,7 @@
 use super::Core;
 use crate::core::request_state::RequestState;
 use crate::core::{Answer, AttemptId};
-use crate::interface::{Event, Outcome, RequestId, Timestamp};
+use crate::interface::{Event, Outcome, RequestId, Timestamp, UnservedReason};
 
 /// The purpose of a timer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -89,7 +89,9 @@
             .state
             .attempt()
             .is_some_and(|attempt| !attempt.gate.cancel_unstarted());
+        self.metrics.record_unserved(UnservedReason::Expired);
         let _ = answer_sender.send(Answer::Failed {
+            reason: UnservedReason::Expired,
             forwarded: in_flight.history.forwarded() || attempt_started,
             attempts: in_flight.history.attempts(),
         });
--- a/src/core/handle.rs
+++ b/src/core/handle.rs
@@ -5,7 +5,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Answer, CoreLoad, CoreMessage, MaintenanceAction, MaintenanceCommand, Request};
-use crate::interface::{ReplicaId, RequestId};
+use crate::interface::{ReplicaId, RequestId, UnservedReason};
 use crate::ops::exclusions::Exclusion;
 use crate::ops::metrics::{Metrics, RequestGuard, RequestOutcome};
 
@@ -121,6 +121,7 @@
     /// Waits for the answer. Cancel safe.
     pub async fn answer(&mut self) -> Answer {
         let answer = (&mut self.answer).await.unwrap_or(Answer::Failed {
+            reason: UnservedReason::Ending,
             forwarded: true,
             attempts: u32::MAX,
         });
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use super::Client;
-use crate::interface::{LoadReport, Outcome, RequestId};
+use crate::interface::{LoadReport, Outcome, RequestId, UnservedReason};
 
 /// The most chunks of an answer that are buffered for a slow client. When the buffer is full, the
 /// model server's connection is read no further.
@@ -79,6 +79,8 @@
     Rejected {
         /// The Retry-After time, where the decision module gives one.
         retry_after: Option<Duration>,
+        /// Why.
+        reason: UnservedReason,
         /// Some attempt reached a model server.
         forwarded: bool,
         /// Attempts that were made.
@@ -86,6 +88,8 @@
     },
     /// Failed; whether a retry is safe is unknown.
     Failed {
+        /// Why.
+        reason: UnservedReason,
         /// Some attempt reached a model server.
         forwarded: bool,
         /// Attempts that were made.
--- a/src/edge/submissions.rs
+++ b/src/edge/submissions.rs
@@ -98,6 +98,7 @@
                     retry_after,
                     forwarded,
                     attempts,
+                    ..
                 } => SubmissionEnd {
                     attempts,
                     forwarded,
@@ -107,6 +108,7 @@
                 Answer::Failed {
                     forwarded,
                     attempts,
+                    ..
                 } => SubmissionEnd {
                     attempts,
                     forwarded,
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -1,6 +1,6 @@
 //! Actions: the commands of the decision module to the router.
 
-use super::{ReplicaId, RequestId, Span, Timestamp};
+use super::{ReplicaId, RequestId, Span, Timestamp, UnservedReason};
 
 /// A command to the router. The actions of one step are carried out in their order.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,11 +27,15 @@
         request: RequestId,
         /// The Retry-After time that the client is given; `None`: no such time.
         retry_after: Option<Span>,
+        /// Why.
+        reason: UnservedReason,
     },
     /// Give the final answer: failed. Whether a retry is harmless is unknown.
     Fail {
         /// The request.
         request: RequestId,
+        /// Why.
+        reason: UnservedReason,
     },
     /// Check a replica's health.
     CheckHealth {
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -9,6 +9,7 @@
 mod load_report;
 mod settings;
 mod time;
+mod unserved_reason;
 
 pub use action::Action;
 pub use class::{Class, DeduplicationScope, Idempotency};
@@ -18,3 +19,4 @@
 pub use load_report::{LoadReport, LoadReportField, MAX_LOAD_REPORT_FIELDS};
 pub use settings::Settings;
 pub use time::{Span, Timestamp};
+pub use unserved_reason::UnservedReason;
--- a/src/net/downstream/answer_timing.rs
+++ b/src/net/downstream/answer_timing.rs
@@ -2,12 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use tracing::warn;
+use tracing::{info, warn};
 
+use crate::interface::UnservedReason;
 use crate::log_limit::LogLimit;
 use crate::ops::metrics::{ClientMetrics, RequestOutcome};
 
 static LATE_ANSWER_LOG: LogLimit = LogLimit::new();
+static UNSERVED_LOG: LogLimit = LogLimit::new();
 
 /// The times of a request whose answer is due.
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +23,21 @@
 }
 
 impl AnswerTiming {
+    /// Logs that a request is not served, and how long its client would have waited.
+    pub(super) fn log_unserved(&self, id: &str, outcome: RequestOutcome, reason: UnservedReason) {
+        let now = Instant::now();
+        let Some(omitted) = UNSERVED_LOG.admit(now) else {
+            return;
+        };
+        let left = (self.received_at + self.timeout).saturating_duration_since(now);
+        info!(
+            "request {id}: {outcome:?} ({}) {} ms after it was read, {} ms left{omitted}",
+            reason.label(),
+            now.saturating_duration_since(self.read_at).as_millis(),
+            left.as_millis(),
+        );
+    }
+
     /// Records an answer that was decided on at `decided_at` and has begun to be written now.
     pub(super) fn record(
         &self,
--- a/src/net/downstream/forwarding.rs
+++ b/src/net/downstream/forwarding.rs
@@ -115,42 +115,48 @@
         let decided_at = Instant::now();
         match answer {
             Answer::Started(chunks) => {
-                let metrics = self.connection.metrics();
-                timing.record(metrics.clients(), Outcome::Completed, decided_at);
+                self.record_answer(&timing, Outcome::Completed, decided_at);
                 self.answer_stream(chunks, pending, persistence).await
             }
             Answer::Rejected {
                 retry_after,
                 forwarded,
+                reason,
                 ..
             } => {
-                pending.complete();
-                if !forwarded {
-                    id_guard.release();
-                }
                 let reply = Reply {
                     retry_after,
                     ..Reply::unavailable("refused; trying again is harmless")
                 };
+                pending.complete();
+                timing.log_unserved(id_guard.id(), Outcome::Rejected, reason);
+                if !forwarded {
+                    id_guard.release();
+                }
                 let step = self.reply(&reply, persistence).await;
-                let metrics = self.connection.metrics();
-                timing.record(metrics.clients(), Outcome::Rejected, decided_at);
+                self.record_answer(&timing, Outcome::Rejected, decided_at);
                 step
             }
-            Answer::Failed { forwarded, .. } => {
+            Answer::Failed {
+                forwarded, reason, ..
+            } => {
+                let reply = Reply::new(502, "Bad Gateway", "failed");
                 pending.complete();
+                timing.log_unserved(id_guard.id(), Outcome::Failed, reason);
                 if !forwarded {
                     id_guard.release();
                 }
-                let reply = Reply::new(502, "Bad Gateway", "failed");
                 let step = self.reply(&reply, persistence).await;
-                let metrics = self.connection.metrics();
-                timing.record(metrics.clients(), Outcome::Failed, decided_at);
+                self.record_answer(&timing, Outcome::Failed, decided_at);
                 step
             }
         }
     }
 
+    fn record_answer(&self, timing: &AnswerTiming, outcome: Outcome, decided_at: Instant) {
+        timing.record(self.connection.metrics().clients(), outcome, decided_at);
+    }
+
     /// Relays a stream that has begun.
     async fn answer_stream(
         &mut self,
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use tracing::warn;
 
+use crate::interface::UnservedReason;
 use crate::logs;
 
 pub use client_side::{ClientMetrics, ConnectionEnd};
@@ -51,6 +52,7 @@
     drained: IntGauge,
     succeeded: IntGauge,
     omitted_log_lines: IntGauge,
+    unserved: [IntCounter; UnservedReason::LABELS.len()],
     clients: ClientMetrics,
 }
 
@@ -75,6 +77,9 @@
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone())).map(|()| gauge)
         };
+        let unserved = Opts::new("router_unserved", "Requests rejected or failed, by reason.");
+        let unserved = IntCounterVec::new(unserved, &["reason"])?;
+        registry.register(Box::new(unserved.clone()))?;
         let counters_of = |class: &String| {
             OUTCOME_LABELS.map(|outcome| transactions.with_label_values(&[class, outcome]))
         };
@@ -92,6 +97,7 @@
                 "router_succeeded",
                 "1 once a successor process has taken over.",
             )?,
+            unserved: UnservedReason::LABELS.map(|label| unserved.with_label_values(&[label])),
             omitted_log_lines: gauge(
                 "router_log_lines_omitted",
                 "Lines missing in the log, as it was full.",
@@ -121,6 +127,11 @@
         self.attempts_sent.inc();
     }
 
+    /// Counts a request that is rejected or failed for this reason.
+    pub fn record_unserved(&self, reason: UnservedReason) {
+        self.unserved[reason as usize].inc();
+    }
+
     /// Sets how many model servers are listed, and how many of them are avoided.
     pub fn set_servers(&self, listed: usize, avoided: usize) {
         self.listed_servers.set(gauge_value(listed));
--- a/src/ops/metrics/tests.rs
+++ b/src/ops/metrics/tests.rs
@@ -81,3 +81,15 @@
         prop_assert_eq!(metrics.requests_in_flight(), 0);
     }
 }
+
+#[test]
+fn unserved_requests_are_counted_by_reason() {
+    let metrics = Metrics::new(&[]);
+    metrics.record_unserved(UnservedReason::NoReplica);
+    metrics.record_unserved(UnservedReason::Ending);
+    let text = metrics.encode();
+    for (label, count) in [("no_replica", 1), ("ending", 1), ("shed", 0)] {
+        let line = format!("router_unserved{{reason=\"{label}\"}} {count}\n");
+        assert!(text.contains(&line), "{text}");
+    }
+}
--- a/src/policy/arrival.rs
+++ b/src/policy/arrival.rs
@@ -5,7 +5,7 @@
 
 use super::balancer::Balancer;
 use super::in_flight::InFlightRequest;
-use crate::interface::{Action, Arrival, Class, Span, Timestamp};
+use crate::interface::{Action, Arrival, Class, Span, Timestamp, UnservedReason};
 
 /// The fraction of its priority weight that a request has which its client marked as a retry.
 /// Value: a design choice against retry storms; it has spent much of its latency objective on
@@ -55,8 +55,15 @@
             .admission
             .for_model(arrival.model, &self.settings, self.now);
         let admitted = admission.admits(priority_weight / cost, self.rng.random(), self.now);
-        if !admitted || !self.has_eligible_replica(arrival.request) {
-            self.complete(arrival.request, actions);
+        let reason = if !admitted {
+            Some(UnservedReason::Shed)
+        } else if !self.has_eligible_replica(arrival.request) {
+            Some(UnservedReason::NoReplica)
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            self.complete(arrival.request, reason, actions);
         }
     }
 }
--- a/src/policy/completion.rs
+++ b/src/policy/completion.rs
@@ -3,12 +3,17 @@
 
 use super::balancer::Balancer;
 use super::in_flight::{AttemptPhase, InFlightRequest};
-use crate::interface::{Action, DeduplicationScope, Idempotency, RequestId, Span};
+use crate::interface::{Action, DeduplicationScope, Idempotency, RequestId, Span, UnservedReason};
 
 impl Balancer {
     /// Completes a request: rejects it, or fails it where a repeat may do harm, unless it has its
     /// answer already. Every final answer of the decision module is given here.
-    pub(super) fn complete(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    pub(super) fn complete(
+        &mut self,
+        id: RequestId,
+        reason: UnservedReason,
+        actions: &mut Vec<Action>,
+    ) {
         self.dequeue(id);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
@@ -21,9 +26,13 @@
                 Action::Reject {
                     request: id,
                     retry_after,
+                    reason,
                 }
             } else {
-                Action::Fail { request: id }
+                Action::Fail {
+                    request: id,
+                    reason,
+                }
             };
             actions.push(answer);
             if self.settings.cancellation {
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -5,7 +5,7 @@
 use super::replica_table::ReplicaIndex;
 use super::request_queue::QueueKey;
 use super::slack_budget::maturity_delay;
-use crate::interface::{Action, RequestId, Span};
+use crate::interface::{Action, RequestId, Span, UnservedReason};
 
 /// The most queued requests that are considered in one step. Value: a design choice that bounds the
 /// work of a step.
@@ -34,7 +34,7 @@
                 Some(replica) if self.admits_migration(id, replica) => {
                     self.send_attempt(id, replica, actions);
                 }
-                Some(_) => self.complete(id, actions),
+                Some(_) => self.complete(id, UnservedReason::ExpensiveMigration, actions),
                 None => {}
             }
         }
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -8,7 +8,7 @@
 use super::hash_ring::{HashRing, RingMember};
 use super::replica::ReplicaState;
 use super::replica_table::ReplicaIndex;
-use crate::interface::{Action, EndpointListKind, ReplicaEntry, RequestId, Span};
+use crate::interface::{Action, EndpointListKind, ReplicaEntry, RequestId, Span, UnservedReason};
 
 impl Balancer {
     /// The complete endpoint list or a change to it arrived, or a poll for it failed.
@@ -69,7 +69,7 @@
         let queued: Vec<RequestId> = self.queue.ids();
         for id in queued {
             if !self.has_eligible_replica(id) {
-                self.complete(id, actions);
+                self.complete(id, UnservedReason::NoReplica, actions);
             }
         }
     }
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -4,7 +4,7 @@
 use super::balancer::Balancer;
 use super::replica_table::ReplicaIndex;
 use super::request_queue::QueueKey;
-use crate::interface::{Action, RequestId, Span};
+use crate::interface::{Action, RequestId, Span, UnservedReason};
 
 impl Balancer {
     /// Puts a request in the queue, by the time it is due.
@@ -47,7 +47,7 @@
                 request => {
                     let model = request.map_or(0, |request| request.arrival.model);
                     self.record_admission_outcome(model, false);
-                    self.complete(id, actions);
+                    self.complete(id, UnservedReason::NoTimeLeft, actions);
                 }
             }
         }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -4,7 +4,7 @@
 use super::balancer::Balancer;
 use super::in_flight::Attempt;
 use super::replica_table::ReplicaIndex;
-use crate::interface::{Action, Class, DeduplicationScope, Idempotency, RequestId};
+use crate::interface::{Action, Class, DeduplicationScope, Idempotency, RequestId, UnservedReason};
 
 impl Balancer {
     /// Whether the rules allow a send of this request to this replica now: attempts are left, none
@@ -77,7 +77,7 @@
             }
             self.enqueue(id);
             if !self.has_eligible_replica(id) {
-                self.complete(id, actions);
+                self.complete(id, UnservedReason::NoReplica, actions);
             }
             return;
         }
@@ -86,6 +86,6 @@
         if failed {
             self.record_admission_outcome(arrival.model, false);
         }
-        self.complete(id, actions);
+        self.complete(id, UnservedReason::AttemptsFailed, actions);
     }
 }
--- a/tests/common/gateway.rs
+++ b/tests/common/gateway.rs
@@ -125,7 +125,7 @@
 
 /// Whether a request fails: a retry may do harm.
 pub fn is_failed(actions: &[Action], id: u32) -> bool {
-    actions.contains(&Action::Fail {
-        request: RequestId(id),
-    })
+    actions
+        .iter()
+        .any(|a| matches!(a, Action::Fail { request, .. } if request.0 == id))
 }
--- a/tests/common/rule_model.rs
+++ b/tests/common/rule_model.rs
@@ -84,7 +84,7 @@
                 request, replica, ..
             } => self.check_send(request.0, replica.0),
             Action::Reject { request, .. } => self.check_answer(request.0, true),
-            Action::Fail { request } => self.check_answer(request.0, false),
+            Action::Fail { request, .. } => self.check_answer(request.0, false),
             Action::CancelAttempt { request, attempt } => {
                 assert!(self.settings.cancellation);
                 assert!((*attempt as usize) < self.requests[&request.0].attempts.len());
