A long endpoint list holds the serving thread up for less time: upstreams are found by address

Found while the kin of the stalls were checked: for each new endpoint all upstreams were compared by address, and for each upstream the list was searched, so the time of a list grew with the square of its length. The thread serves nobody meanwhile.

Change: a set of the listed endpoints, and an index of the upstreams by address, made once a list. What is opened and closed is the same, also where endpoints share an address.

What is left grows faster than the list too (the mean over all replicas for each new one, the hash ring, in the decision module); not changed here. No test of its own: the tests of endpoint lists and races hold.

--- a/src/core/actor/endpoints.rs
+++ b/src/core/actor/endpoints.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use tokio::sync::mpsc;
 use tracing::debug;
 
@@ -45,8 +45,9 @@
             self.load.set_ready();
             self.close_unlisted_upstreams(&update.endpoints);
         }
+        let mut by_address = self.upstreams_by_address();
         for endpoint in &update.endpoints {
-            self.update_upstream(endpoint);
+            self.update_upstream(endpoint, &mut by_address);
         }
         let entries = update.endpoints.into_iter().map(|endpoint| endpoint.entry);
         let entries: Arc<[ReplicaEntry]> = entries.collect();
@@ -72,7 +73,7 @@
     /// command channel is dropped finishes the attempts that it has.
     fn close_unlisted_upstreams(&mut self, endpoints: &[Endpoint]) {
         let replicas = endpoints.iter().map(|endpoint| endpoint.entry.replica);
-        let listed: Vec<ReplicaId> = replicas.collect();
+        let listed: FxHashSet<ReplicaId> = replicas.collect();
         self.upstreams.retain(|id, _| listed.contains(id));
     }
 
@@ -91,9 +92,23 @@
         self.cancel_unstarted(|replica| !in_service(replica), Instant::now());
     }
 
+    /// Which endpoints have an upstream at each address.
+    fn upstreams_by_address(&self) -> FxHashMap<String, Vec<ReplicaId>> {
+        let mut by_address: FxHashMap<String, Vec<ReplicaId>> = FxHashMap::default();
+        for (&replica, upstream) in &self.upstreams {
+            let replicas = by_address.entry(upstream.address.clone()).or_default();
+            replicas.push(replica);
+        }
+        by_address
+    }
+
     /// Opens the upstream of an endpoint that is new or has restarted, and closes that of one which
     /// was removed from the list.
-    fn update_upstream(&mut self, endpoint: &Endpoint) {
+    fn update_upstream(
+        &mut self,
+        endpoint: &Endpoint,
+        by_address: &mut FxHashMap<String, Vec<ReplicaId>>,
+    ) {
         let replica = endpoint.entry.replica;
         if endpoint.entry.state == EndpointState::Removed {
             self.upstreams.remove(&replica);
@@ -111,8 +126,22 @@
         }
         // An older endpoint at the same address has ended unnoticed: its attempts must not reach
         // the new one.
-        self.upstreams
-            .retain(|_, upstream| upstream.address != address || upstream.started_at > started_at);
+        let at_address = by_address.entry(address.clone()).or_default();
+        for older in std::mem::take(at_address) {
+            let newer = |upstream: &UpstreamHandle| {
+                upstream.address == address && upstream.started_at > started_at
+            };
+            if self.upstreams.get(&older).is_some_and(newer) {
+                at_address.push(older);
+            } else if self
+                .upstreams
+                .get(&older)
+                .is_some_and(|u| u.address == address)
+            {
+                self.upstreams.remove(&older);
+            }
+        }
+        at_address.push(replica);
         let commands = self.connector.open(replica, endpoint);
         self.upstreams.insert(
             replica,
