Reading in turns: waits for memory or for a disk between two reads cost a message nothing

Cause: a message's reading time ran from a read to the next, so that an upload's wait for its file, or a body's for memory, counted as up to 5 ms of reading, and its next turn was put off by four times that. Found by reading the change again; no caller has seen it. The time now ends when the bytes are passed on.

Evidence: net::listener::read_pacing::tests::waits_between_reads_cost_nothing can't hold without the change (there was no end of the work but the next read); the tests of large bodies, uploads and limits pass.

--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -32,6 +32,8 @@
         loop {
             body.drain_buffered(&mut self.buffer, |bytes| part.extend_from_slice(bytes))?;
             if !part.is_empty() {
+                // what is done with them may have to wait, which is no reading
+                self.pacing.pause(Instant::now());
                 return Ok(Some(part.freeze()));
             }
             if body.is_complete() {
--- a/src/net/listener/read_pacing.rs
+++ b/src/net/listener/read_pacing.rs
@@ -77,12 +77,16 @@
         self.resumed_at = Some(now);
     }
 
-    /// The work on the bytes that were read last is done, and more are wanted.
+    /// The work on the bytes that were read last is done.
+    pub(super) fn pause(&mut self, now: Instant) {
+        if let Some(resumed_at) = self.resumed_at.take() {
+            self.turn += now.saturating_duration_since(resumed_at);
+        }
+    }
+
+    /// More bytes are wanted. The work on those that were read last is done.
     pub(super) fn next_turn(&mut self, now: Instant, schedule: &ReadSchedule) -> NextTurn {
-        let Some(resumed_at) = self.resumed_at.take() else {
-            return NextTurn::Now;
-        };
-        self.turn += now.saturating_duration_since(resumed_at);
+        self.pause(now);
         if self.turn < MAX_TURN {
             return NextTurn::Now;
         }
--- a/src/net/listener/read_pacing/tests.rs
+++ b/src/net/listener/read_pacing/tests.rs
@@ -58,3 +58,16 @@
     let turn = read_for(&mut pacing, &schedule, &mut now, Duration::from_secs(60));
     assert_eq!(turn, NextTurn::At(now + MAX_TURN_COST * SHARE_DIVISOR));
 }
+
+#[test]
+fn waits_between_reads_cost_nothing() {
+    let mut now = Instant::now();
+    let schedule = ReadSchedule::new(now);
+    let mut pacing = ReadPacing::default();
+    for _ in 0..100 {
+        pacing.resume(now);
+        pacing.pause(now);
+        now += Duration::from_secs(1);
+        assert_eq!(pacing.next_turn(now, &schedule), NextTurn::Now);
+    }
+}
