Arrival by the system's account has a margin of 100 ms, and is not used behind much unread data

The router took the request's last byte to have come 226 ms after its client had written it.

Cause, as far as shown: the system's account of the last data is when a segment was taken in, not when it was written. 226 ms is what a lost last segment takes (the system sends it again after 200 ms), and deadlines allow 150 ms.

Change: the arrival is taken to be 100 ms before the system's account, so that one such retransmission is within the rule. It is used for a new connection only where one read takes all that is unread: behind more, the rest may wait at its client.

Ruled out: a large request whose end the client holds back. tests/request_deadlines.rs::large_request_counts_from_its_writing passes with and without the change, and stays as a guard.

--- a/src/net/listener/arrival.rs
+++ b/src/net/listener/arrival.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use super::ClientConnection;
-use super::time_limits::{ARRIVAL_RESOLUTION, MAX_BUFFERED_REQUEST_BYTES};
+use super::time_limits::{ARRIVAL_MARGIN, MAX_BUFFERED_REQUEST_BYTES};
 use crate::net::stream::StreamState;
 
 impl ClientConnection {
@@ -42,20 +42,22 @@
         if self.socket.state() != StreamState::Quiet {
             return None;
         }
-        now.checked_sub(age + ARRIVAL_RESOLUTION)
+        now.checked_sub(age + ARRIVAL_MARGIN)
     }
 
     /// Asks the system when the bytes came that a new connection has brought. The accept queue alone
     /// tells only that it was not empty, which in a flood of connections it never is: requests that
-    /// came just now would be taken for expired.
+    /// came just now would be taken for expired. Where much is unread, more may wait at the client,
+    /// and what came last was let in by the system long after the client wrote it.
     pub(super) fn narrow_unread_since(&mut self) {
         let Some(since) = self.unread_since else {
             return;
         };
-        let arrived = self
+        let age = self
             .socket
             .time_since_last_data()
-            .and_then(|age| Instant::now().checked_sub(age + ARRIVAL_RESOLUTION));
+            .filter(|_| self.socket.unread_fits_one_read());
+        let arrived = age.and_then(|age| Instant::now().checked_sub(age + ARRIVAL_MARGIN));
         let since = arrived.map_or(since, |arrived| since.max(arrived));
         self.unread_since = Some(since);
         let waited = since.elapsed().as_secs_f64();
--- a/src/net/listener/client_socket.rs
+++ b/src/net/listener/client_socket.rs
@@ -60,6 +60,13 @@
         self.stream.state()
     }
 
+    /// Whether there are unread bytes, and one read takes all of them.
+    pub fn unread_fits_one_read(&self) -> bool {
+        let mut bytes = [0; MAX_READ_BYTES];
+        let peeked = self.stream.try_peek(&mut bytes);
+        peeked.is_ok_and(|peeked| peeked < MAX_READ_BYTES)
+    }
+
     /// The time since the last bytes arrived; `None` where the system does not tell.
     pub fn time_since_last_data(&self) -> Option<Duration> {
         self.stream.time_since_last_data()
