--- a/src/net/listener/closing.rs
+++ b/src/net/listener/closing.rs
@@ -7,7 +7,8 @@
 use super::ClientConnection;
 use super::client_socket::ClientSocket;
 use super::connection_state::ConnectionEvent;
-use super::read_pacing::{NextTurn, ReadPacing, ReadSchedule};
+use super::read_pacing::ReadPacing;
+use super::read_turns::wait_for_turn;
 use super::time_limits::{
     EVICTED_CLOSE_TIMEOUT, LINGERING_CLOSE_EXTENSION, LINGERING_CLOSE_TIMEOUT,
 };
@@ -80,15 +81,6 @@
     }
 }
 
-/// Lets others run before more is discarded.
-async fn wait_for_turn(pacing: &mut ReadPacing, schedule: &ReadSchedule) {
-    match pacing.next_turn(Instant::now(), schedule) {
-        NextTurn::Now => {}
-        NextTurn::Yield => tokio::task::yield_now().await,
-        NextTurn::At(turn_at) => tokio::time::sleep_until(turn_at.into()).await,
-    }
-}
-
 /// Reads and drops some of the rest of an answered request; whether there may be more.
 async fn discard_some(
     socket: &ClientSocket,
--- a/src/net/listener/mod.rs
+++ b/src/net/listener/mod.rs
@@ -16,6 +16,7 @@
 mod heartbeat;
 mod incoming_request;
 mod read_pacing;
+mod read_turns;
 mod receiving;
 mod time_limits;
 
--- /dev/null
+++ b/src/net/listener/read_turns.rs
@@ -0,0 +1,52 @@
+//! Waits between the turns in which a message is read: see `read_pacing` for when they come.
+
+use std::time::Instant;
+
+use super::ClientConnection;
+use super::read_pacing::{NextTurn, ReadPacing, ReadSchedule};
+use super::time_limits::REQUEST_CUTOFF_AFTER_SHUTDOWN;
+use crate::net::http::HttpError;
+
+impl ClientConnection {
+    /// Lets others run before more of a message is read that takes long. The rest of it may arrive
+    /// meanwhile; the wait ends in time for an answer.
+    pub(super) async fn wait_for_turn(&mut self) -> Result<(), HttpError> {
+        let now = Instant::now();
+        let turn_at = match self.pacing.next_turn(now, &self.context.read_schedule) {
+            NextTurn::Now => return Ok(()),
+            NextTurn::Yield => {
+                tokio::task::yield_now().await;
+                return Ok(());
+            }
+            NextTurn::At(turn_at) => turn_at,
+        };
+        let unread_since = *self.unread_since.get_or_insert(now);
+        let Some(incoming) = &self.incoming else {
+            return Err(HttpError::ConnectionClosed);
+        };
+        let answer_by = incoming.answer_by(unread_since);
+        let mut shutdown = self.context.clone();
+        let ended = tokio::select! {
+            biased;
+            () = shutdown.wait_after_shutdown_signal(REQUEST_CUTOFF_AFTER_SHUTDOWN) => {
+                HttpError::Timeout
+            }
+            () = tokio::time::sleep_until(turn_at.min(answer_by).into()) => {
+                if turn_at <= answer_by {
+                    return Ok(());
+                }
+                HttpError::NoCapacity
+            }
+        };
+        Err(ended)
+    }
+}
+
+/// Lets others run before more is discarded.
+pub(super) async fn wait_for_turn(pacing: &mut ReadPacing, schedule: &ReadSchedule) {
+    match pacing.next_turn(Instant::now(), schedule) {
+        NextTurn::Now => {}
+        NextTurn::Yield => tokio::task::yield_now().await,
+        NextTurn::At(turn_at) => tokio::time::sleep_until(turn_at.into()).await,
+    }
+}
--- a/src/net/listener/receiving.rs
+++ b/src/net/listener/receiving.rs
@@ -8,7 +8,6 @@
 use super::ClientConnection;
 use super::connection_state::ConnectionEvent;
 use super::incoming_request::IncomingRequest;
-use super::read_pacing::NextTurn;
 use super::time_limits::{
     IDLE_CLOSE_AFTER_DRAIN, PIPELINING_DELAY, READ_CUTOFF_AFTER_SHUTDOWN,
     REQUEST_CUTOFF_AFTER_DRAIN, REQUEST_CUTOFF_AFTER_SHUTDOWN,
@@ -208,39 +207,6 @@
         }
     }
 
-    /// Lets others run before more of a message is read that takes long. The rest of it may arrive
-    /// meanwhile; the wait ends in time for an answer.
-    async fn wait_for_turn(&mut self) -> Result<(), HttpError> {
-        let now = Instant::now();
-        let turn_at = match self.pacing.next_turn(now, &self.context.read_schedule) {
-            NextTurn::Now => return Ok(()),
-            NextTurn::Yield => {
-                tokio::task::yield_now().await;
-                return Ok(());
-            }
-            NextTurn::At(turn_at) => turn_at,
-        };
-        let unread_since = *self.unread_since.get_or_insert(now);
-        let Some(incoming) = &self.incoming else {
-            return Err(HttpError::ConnectionClosed);
-        };
-        let answer_by = incoming.answer_by(unread_since);
-        let mut shutdown = self.context.clone();
-        let ended = tokio::select! {
-            biased;
-            () = shutdown.wait_after_shutdown_signal(REQUEST_CUTOFF_AFTER_SHUTDOWN) => {
-                HttpError::Timeout
-            }
-            () = tokio::time::sleep_until(turn_at.min(answer_by).into()) => {
-                if turn_at <= answer_by {
-                    return Ok(());
-                }
-                HttpError::NoCapacity
-            }
-        };
-        Err(ended)
-    }
-
     /// Fails if what has just been read is too late to be served. Checked after the read: the
     /// process may not have been scheduled for some time before it.
     fn check_read_cutoff(&self) -> Result<(), HttpError> {
