Fault test: oversized bodies, tiny chunks and stops in series; process faults in a module of their own

The crowds gain up to twelve clients that send bodies over the limit or in chunks of one byte, and two in ten faults are two to four stops of 150 to 600 ms in a row, each recorded as a stop of its own.

--- a/tests/faults/crowd.rs
+++ b/tests/faults/crowd.rs
@@ -1,5 +1,6 @@
-//! Clients that take up a router's descriptors and time: they rest, stop within a request, or write
-//! requests ahead, with or without reading the answers. Nothing that they do is recorded.
+//! Clients that take up a router's descriptors and time: they rest, stop within a request, write
+//! requests ahead, with or without reading the answers, or send bodies that are over the limit or
+//! in tiny chunks. Nothing that they do is recorded.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -14,6 +15,8 @@
 /// Clients of a crowd that write ahead, in a large one, and others.
 const WRITERS: std::ops::RangeInclusive<usize> = 0..=10;
 const WRITERS_OF_LARGE: std::ops::RangeInclusive<usize> = 100..=140;
+/// Clients of a crowd that send large bodies.
+const SENDERS: std::ops::RangeInclusive<usize> = 0..=12;
 const OTHERS: std::ops::RangeInclusive<usize> = 10..=60;
 /// Commands that are written at once.
 const COMMANDS: usize = 100;
@@ -22,6 +25,16 @@
     b"POST /v1/chat/completions HTTP/1.1\r\nX-Qos: hint\r\nContent-Length: 60000\r\n\r\n{";
 /// Bytes of the body of a request that stops within it.
 const HALF_A_BODY: usize = 30_000;
+/// Bytes of a body over the limit.
+const OVERSIZED_BODY: usize = 6 << 20;
+const OVERSIZED_HEAD: &[u8] =
+    b"POST /v1/chat/completions HTTP/1.1\r\nX-Qos: hint\r\nContent-Length: 6291456\r\n\r\n";
+/// A body in chunks of one byte, which is no JSON.
+const CHUNKED_HEAD: &[u8] =
+    b"POST /v1/chat/completions HTTP/1.1\r\nX-Trace-Id: c0\r\nX-Qos: hint\r\n\
+      X-Expires-In-Ms: 900\r\nX-Props: prompt_len=9,max_out=9\r\nTransfer-Encoding: chunked\r\n\r\n";
+const TINY_CHUNK: &[u8] = b"1\r\nx\r\n";
+const TINY_CHUNKS: usize = 40_000;
 /// How long a read or write waits before the client looks whether the run is over.
 const SOCKET_TIMEOUT: Duration = Duration::from_millis(5);
 /// A client that was closed connects again after this.
@@ -35,6 +48,8 @@
     StopWithinBody,
     WriteAhead,
     WriteAheadUnread,
+    OversizedBody,
+    TinyChunks,
 }
 
 /// The crowd of one router; ends when dropped.
@@ -64,6 +79,13 @@
                 _ => Behavior::StopWithinBody,
             });
         }
+        for _ in 0..rng.random_range(SENDERS) {
+            behaviors.push(if rng.random_bool(0.5) {
+                Behavior::OversizedBody
+            } else {
+                Behavior::TinyChunks
+            });
+        }
         let threads = behaviors.into_iter().map(|behavior| {
             let stop = stop.clone();
             spawn(move || {
@@ -94,19 +116,24 @@
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(500))?;
     stream.set_read_timeout(Some(SOCKET_TIMEOUT))?;
     stream.set_write_timeout(Some(SOCKET_TIMEOUT))?;
+    let mut written = 0;
     let mut unwritten = match behavior {
         Behavior::Rest => Vec::new(),
         Behavior::StopWithinHead => HALF_A_REQUEST[..50].to_vec(),
         Behavior::StopWithinBody => [HALF_A_REQUEST, &[b' '; HALF_A_BODY]].concat(),
         Behavior::WriteAhead | Behavior::WriteAheadUnread => COMMAND.repeat(COMMANDS),
+        Behavior::OversizedBody => [OVERSIZED_HEAD, &vec![b'x'; OVERSIZED_BODY]].concat(),
+        Behavior::TinyChunks => {
+            [CHUNKED_HEAD, &TINY_CHUNK.repeat(TINY_CHUNKS), b"0\r\n\r\n"].concat()
+        }
     };
     let writes_ahead = matches!(behavior, Behavior::WriteAhead | Behavior::WriteAheadUnread);
     let mut answers = [0; 16 << 10];
     while !stop.load(Ordering::Relaxed) {
-        if !unwritten.is_empty() {
-            match stream.write(&unwritten) {
-                Ok(written) if writes_ahead => unwritten.rotate_left(written),
-                Ok(written) => drop(unwritten.drain(..written)),
+        if written < unwritten.len() {
+            match stream.write(&unwritten[written..]) {
+                Ok(count) if writes_ahead => unwritten.rotate_left(count),
+                Ok(count) => written += count,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 Err(e) => return Err(e),
             }
--- a/tests/faults/main.rs
+++ b/tests/faults/main.rs
@@ -10,6 +10,7 @@
 mod deliveries;
 mod failing_calls;
 mod http;
+mod process_faults;
 mod record;
 mod recorder;
 mod seed_run;
--- /dev/null
+++ b/tests/faults/process_faults.rs
@@ -0,0 +1,113 @@
+//! Faults of routers' processes, drawn at random: stops, kills, and signals that end them.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use cluster_test::{ClusterError, RouterProcess};
+use rand::RngExt;
+use rand::rngs::StdRng;
+use tokio::time::sleep;
+
+use super::record::OutageKind;
+use super::recorder::Recorder;
+
+/// A terminated process is killed after this, the earliest time that the platform allows: 0.7 s and
+/// the longest deadline of a class (1.5 s). Clients use their connections until then.
+const SHUTDOWN_GRACE: Duration = Duration::from_millis(2200);
+/// The most signals that come in a row.
+const MAX_SIGNALS: usize = 3;
+/// The most stops in a row, and the time between them in milliseconds.
+const MAX_STOPS: usize = 4;
+const MILLISECONDS_BETWEEN_STOPS: std::ops::Range<u64> = 5..150;
+
+/// A fault of a router's process.
+#[derive(Clone, Copy, Debug)]
+enum ProcessFault {
+    /// SIGSTOP, and SIGCONT after so long.
+    Stop(Duration),
+    /// So many of these in a row.
+    StopSeries(usize),
+    /// SIGKILL and a restart.
+    Kill,
+    /// SIGHUPs and SIGTERMs in a row, SIGKILL `SHUTDOWN_GRACE` after the first SIGTERM, and a
+    /// restart.
+    Terminate,
+}
+
+/// Sends a series of signals that ends the process; at once, or some milliseconds apart.
+async fn send_signals(process: &RouterProcess, rng: &mut StdRng) -> Result<(), ClusterError> {
+    for _ in 0..rng.random_range(0..MAX_SIGNALS) {
+        process.reload()?;
+        sleep(Duration::from_millis(rng.random_range(0..20))).await;
+    }
+    process.terminate()?;
+    for _ in 1..rng.random_range(1..=MAX_SIGNALS) {
+        sleep(Duration::from_millis(rng.random_range(0..20))).await;
+        // an idle process may have ended by then
+        let _ = process.terminate();
+    }
+    Ok(())
+}
+
+/// Suspends a process for so long.
+async fn stop_for(process: &RouterProcess, duration: Duration) -> Result<(), ClusterError> {
+    process.suspend()?;
+    sleep(duration).await;
+    process.resume()
+}
+
+/// Injects random faults into one router until the clients stop.
+pub async fn inject_faults(
+    router: usize,
+    mut process: RouterProcess,
+    mut rng: StdRng,
+    until: Instant,
+    recorder: Arc<Recorder>,
+) -> Result<RouterProcess, ClusterError> {
+    loop {
+        sleep(Duration::from_millis(rng.random_range(300..1500))).await;
+        if Instant::now() >= until {
+            return Ok(process);
+        }
+        let fault = match rng.random_range(0..10) {
+            0..4 => ProcessFault::Stop(Duration::from_millis(rng.random_range(50..900))),
+            4..6 => ProcessFault::StopSeries(rng.random_range(2..=MAX_STOPS)),
+            6..7 => ProcessFault::Kill,
+            _ => ProcessFault::Terminate,
+        };
+        let from = Instant::now();
+        match fault {
+            ProcessFault::Stop(duration) => {
+                stop_for(&process, duration).await?;
+                recorder.record_outage(router, OutageKind::Stopped, from);
+            }
+            ProcessFault::StopSeries(stops) => {
+                for _ in 0..stops {
+                    let from = Instant::now();
+                    let duration = Duration::from_millis(rng.random_range(150..600));
+                    stop_for(&process, duration).await?;
+                    recorder.record_outage(router, OutageKind::Stopped, from);
+                    let pause = rng.random_range(MILLISECONDS_BETWEEN_STOPS);
+                    sleep(Duration::from_millis(pause)).await;
+                }
+            }
+            ProcessFault::Kill => {
+                process.restart()?;
+                process.wait_until_ready().await?;
+                recorder.record_outage(router, OutageKind::Killed, from);
+            }
+            ProcessFault::Terminate => {
+                send_signals(&process, &mut rng).await?;
+                while !process.has_exited() && from.elapsed() < SHUTDOWN_GRACE {
+                    sleep(Duration::from_millis(5)).await;
+                }
+                let late = Instant::now();
+                process.restart()?;
+                process.wait_until_ready().await?;
+                if late - from >= SHUTDOWN_GRACE {
+                    recorder.record_outage(router, OutageKind::Killed, late);
+                }
+            }
+        }
+    }
+}
--- a/tests/faults/seed_run.rs
+++ b/tests/faults/seed_run.rs
@@ -17,7 +17,8 @@
 use super::clients::Client;
 use super::crowd::Crowd;
 use super::failing_calls::draw_rules;
-use super::record::{OutageKind, Record};
+use super::process_faults::inject_faults;
+use super::record::Record;
 use super::recorder::Recorder;
 use super::servers::Server;
 
@@ -25,26 +26,9 @@
 const LENGTH: Duration = Duration::from_secs(5);
 /// Clients of a router.
 const CLIENTS: usize = 8;
-/// A terminated process is killed after this, the earliest time that the platform allows: 0.7 s and
-/// the longest deadline of a class (1.5 s). Clients use their connections until then.
-const SHUTDOWN_GRACE: Duration = Duration::from_millis(2200);
-/// The most signals that come in a row.
-const MAX_SIGNALS: usize = 3;
 /// The most routers beside a crowd.
 const MAX_ROUTERS_WITH_CROWD: usize = 3;
 
-/// A fault of a router's process.
-#[derive(Clone, Copy, Debug)]
-enum ProcessFault {
-    /// SIGSTOP, and SIGCONT after so long.
-    Stop(Duration),
-    /// SIGKILL and a restart.
-    Kill,
-    /// SIGHUPs and SIGTERMs in a row, SIGKILL `SHUTDOWN_GRACE` after the first SIGTERM, and a
-    /// restart.
-    Terminate,
-}
-
 /// Whether system calls of the routers fail.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum SystemCalls {
@@ -186,65 +170,3 @@
     }
     Ok(failed_calls)
 }
-
-/// Sends a series of signals that ends the process; at once, or some milliseconds apart.
-async fn send_signals(process: &RouterProcess, rng: &mut StdRng) -> Result<(), ClusterError> {
-    for _ in 0..rng.random_range(0..MAX_SIGNALS) {
-        process.reload()?;
-        sleep(Duration::from_millis(rng.random_range(0..20))).await;
-    }
-    process.terminate()?;
-    for _ in 1..rng.random_range(1..=MAX_SIGNALS) {
-        sleep(Duration::from_millis(rng.random_range(0..20))).await;
-        // an idle process may have ended by then
-        let _ = process.terminate();
-    }
-    Ok(())
-}
-
-/// Injects random faults into one router until the clients stop.
-async fn inject_faults(
-    router: usize,
-    mut process: RouterProcess,
-    mut rng: StdRng,
-    until: Instant,
-    recorder: Arc<Recorder>,
-) -> Result<RouterProcess, ClusterError> {
-    loop {
-        sleep(Duration::from_millis(rng.random_range(300..1500))).await;
-        if Instant::now() >= until {
-            return Ok(process);
-        }
-        let fault = match rng.random_range(0..10) {
-            0..6 => ProcessFault::Stop(Duration::from_millis(rng.random_range(50..900))),
-            6..7 => ProcessFault::Kill,
-            _ => ProcessFault::Terminate,
-        };
-        let from = Instant::now();
-        match fault {
-            ProcessFault::Stop(duration) => {
-                process.suspend()?;
-                sleep(duration).await;
-                process.resume()?;
-                recorder.record_outage(router, OutageKind::Stopped, from);
-            }
-            ProcessFault::Kill => {
-                process.restart()?;
-                process.wait_until_ready().await?;
-                recorder.record_outage(router, OutageKind::Killed, from);
-            }
-            ProcessFault::Terminate => {
-                send_signals(&process, &mut rng).await?;
-                while !process.has_exited() && from.elapsed() < SHUTDOWN_GRACE {
-                    sleep(Duration::from_millis(5)).await;
-                }
-                let late = Instant::now();
-                process.restart()?;
-                process.wait_until_ready().await?;
-                if late - from >= SHUTDOWN_GRACE {
-                    recorder.record_outage(router, OutageKind::Killed, late);
-                }
-            }
-        }
-    }
-}
