Failing calls, all together: connects fail more often, so that each run has some

The whole check failed once, beside four busy processes: live_requests_survive_failing_calls::case_21_all_of_them, "connect was never made to fail". All 400 of its requests were complete.

Cause: the test demands that each call of its rules failed at least once. A run makes about 100 connects, of which 4% failed; the draws are shared by all calls in their order, which differs from run to run. So about 1.7% of runs have no failed connect (0.96 to the power of 100). Ruled out: a change of the router's connects (the counts of the other calls are as ever).

Change: 5% each for the two errors in place of 2%. The check stays, and the runs are harder than before.

--- a/tests/syscall_faults.rs
+++ b/tests/syscall_faults.rs
@@ -64,8 +64,8 @@
         fails(Call::EpollWait, errno::EINTR, 0.02),
         fails(Call::Accept4, errno::ECONNABORTED, 0.02),
         fails(Call::Accept4, errno::ENFILE, 0.02),
-        fails(Call::Connect, errno::EADDRNOTAVAIL, 0.02),
-        fails(Call::Connect, errno::ENOBUFS, 0.02),
+        fails(Call::Connect, errno::EADDRNOTAVAIL, 0.05),
+        fails(Call::Connect, errno::ENOBUFS, 0.05),
         fails(Call::Socket, errno::EMFILE, 0.04),
     ]);
     rules
