Failing test: sessions rejected throughout while a third of the servers fails

Callers saw every turn of a session rejected while servers had capacity.

The fake model server gets a prompt cache by session and one prefill at a time; both are off unless a prefill time is set.

--- a/crates/cluster_test/src/lib.rs
+++ b/crates/cluster_test/src/lib.rs
@@ -23,6 +23,7 @@
 mod scenario;
 
 pub use error::ClusterError;
+pub use link::Link;
 pub use process::RouterProcess;
 pub use record::{AttemptRecord, DrainNotification, RequestOutcome, RequestRecord, RunRecord};
 pub use router_config::router_config;
--- a/crates/fake_servers/src/model_server/chat.rs
+++ b/crates/fake_servers/src/model_server/chat.rs
@@ -16,6 +16,8 @@
 pub(super) struct ChatRequest {
     pub(super) model: String,
     pub(super) prompt_tokens: u64,
+    /// The end user, here the session.
+    session: Option<String>,
     /// The most tokens of the answer, where the request has a limit.
     max_tokens: Option<u64>,
 }
@@ -27,6 +29,7 @@
         ChatRequest {
             model: body["model"].as_str().unwrap_or_default().to_string(),
             prompt_tokens: count_prompt_tokens(&body),
+            session: body["user"].as_str().map(String::from),
             max_tokens: body["max_tokens"].as_u64(),
         }
     }
@@ -63,8 +66,8 @@
         };
         let completed = tokio::select! {
             biased;
-            () = self.first_token(&chat.model, fault) => {
-                self.stream(connection, &chat, fault, &attempt).await
+            cached_tokens = self.first_token(&chat, fault) => {
+                self.stream(connection, &chat, cached_tokens, fault, &attempt).await
             }
             () = connection.closed() => false,
         };
@@ -88,11 +91,13 @@
             .begin(trace_id, attempt, request.has_authorization)
     }
 
-    /// Waits until the first token is ready; forever where the server hangs.
-    async fn first_token(&self, model: &str, fault: Fault) {
+    /// Waits until the first token is ready; forever where the server hangs. Returns how many tokens
+    /// of the prompt were cached.
+    async fn first_token(&self, chat: &ChatRequest, fault: Fault) -> u64 {
         if fault == Fault::Hang {
             std::future::pending::<()>().await;
         }
+        let model = chat.model.as_str();
         let is_adapter = self.options.adapter(model).is_some();
         if is_adapter && !self.state().loaded_adapters.contains(model) {
             sleep(self.options.adapter_load_time).await;
@@ -100,6 +105,29 @@
         }
         let slowdown = self.state().slowdown();
         sleep(self.options.first_token_delay * slowdown).await;
+        self.prefill(chat, slowdown).await
+    }
+
+    /// Prefills a prompt, once those before it are. Returns how many of its tokens were cached.
+    async fn prefill(&self, chat: &ChatRequest, slowdown: u32) -> u64 {
+        let time_per_token = self.options.prefill_time_per_token * slowdown;
+        if time_per_token.is_zero() {
+            return 0;
+        }
+        let _turn = self.prefill.lock().await;
+        let session = chat.session.as_deref().unwrap_or_default();
+        let cached = self
+            .state()
+            .prompt_cache
+            .cached_tokens(session, chat.prompt_tokens);
+        let uncached = u32::try_from(chat.prompt_tokens - cached).unwrap_or(u32::MAX);
+        sleep(time_per_token * uncached).await;
+        if !session.is_empty() {
+            self.state()
+                .prompt_cache
+                .insert(session, chat.prompt_tokens);
+        }
+        cached
     }
 
     /// Streams the answer. Returns whether it was written completely.
@@ -107,12 +135,14 @@
         &self,
         connection: &mut Connection,
         chat: &ChatRequest,
+        cached_tokens: u64,
         fault: Fault,
         attempt: &RunningAttempt,
     ) -> bool {
         let max_tokens = chat.max_tokens.unwrap_or(u64::MAX);
         let stream = AnswerStream {
             chat,
+            cached_tokens,
             answer_tokens: self.options.answer_tokens.min(max_tokens),
             token_interval: self.options.token_interval,
             fault,
--- a/crates/fake_servers/src/model_server/faults.rs
+++ b/crates/fake_servers/src/model_server/faults.rs
@@ -5,6 +5,8 @@
 
 use tokio::time::Instant;
 
+use super::prompt_cache::PromptCache;
+
 /// What a server does wrong.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -46,6 +48,7 @@
     pub(super) defect: ResponseDefect,
     /// Names of the adapters that are loaded.
     pub(super) loaded_adapters: HashSet<String>,
+    pub(super) prompt_cache: PromptCache,
     warm_up: Option<WarmUp>,
 }
 
@@ -60,6 +63,7 @@
     /// Begins anew after a restart: without faults, with nothing loaded, and slow for a while.
     pub(super) fn start_cold(&mut self, slowdown: u32, warm_up: Duration) {
         self.loaded_adapters.clear();
+        self.prompt_cache.clear();
         self.fault = Fault::None;
         self.warm_up = Some(WarmUp {
             until: Instant::now() + warm_up,
--- a/crates/fake_servers/src/model_server/mod.rs
+++ b/crates/fake_servers/src/model_server/mod.rs
@@ -5,6 +5,7 @@
 mod chat;
 mod faults;
 mod options;
+mod prompt_cache;
 mod stream;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -31,6 +32,8 @@
     request_log: RequestLog,
     /// One permit for each request that may run.
     capacity: Arc<Semaphore>,
+    /// Held by the prompt that is being prefilled.
+    prefill: Arc<tokio::sync::Mutex<()>>,
     /// Changes when all connections are to be closed.
     disconnections: Arc<watch::Sender<u64>>,
     /// Whether answers wait after their first token.
@@ -56,6 +59,7 @@
         let server = ModelServer {
             address: listener.local_addr()?.to_string(),
             capacity: Arc::new(Semaphore::new(options.max_concurrent_requests)),
+            prefill: Arc::default(),
             options: Arc::new(options),
             state: Arc::default(),
             request_log,
@@ -76,13 +80,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sets what the server does wrong from now on. [`Fault::Down`] closes its connections and
-    /// unloads its adapters.
+    /// Sets what the server does wrong from now on. [`Fault::Down`] closes its connections,
+    /// unloads its adapters and forgets its prompts.
     pub fn set_fault(&self, fault: Fault) {
         let mut state = self.state();
         state.fault = fault;
         if fault == Fault::Down {
             state.loaded_adapters.clear();
+            state.prompt_cache.clear();
             self.disconnections.send_modify(|count| *count += 1);
         }
     }
--- a/crates/fake_servers/src/model_server/options.rs
+++ b/crates/fake_servers/src/model_server/options.rs
@@ -17,6 +17,10 @@
     pub max_concurrent_requests: usize,
     /// Time to the first token.
     pub first_token_delay: Duration,
+    /// Time that a prompt token which isn't cached adds to the time to the first token. The server
+    /// prefills one prompt at a time, and caches each session's. Zero: no prompt takes any time,
+    /// and none is cached.
+    pub prefill_time_per_token: Duration,
     /// Time between two tokens.
     pub token_interval: Duration,
     /// Tokens of an answer, unless the request's `max_tokens` is lower.
@@ -43,6 +47,7 @@
             adapter_load_time: Duration::from_millis(200),
             max_concurrent_requests: 64,
             first_token_delay: Duration::from_millis(2),
+            prefill_time_per_token: Duration::ZERO,
             token_interval: Duration::ZERO,
             answer_tokens: 10,
             lists_models: true,
--- a/crates/fake_servers/src/model_server/stream.rs
+++ b/crates/fake_servers/src/model_server/stream.rs
@@ -19,6 +19,8 @@
 /// One answer that is being written.
 pub(super) struct AnswerStream<'a> {
     pub(super) chat: &'a ChatRequest,
+    /// Tokens of the prompt that were cached.
+    pub(super) cached_tokens: u64,
     pub(super) answer_tokens: u64,
     pub(super) token_interval: Duration,
     pub(super) fault: Fault,
@@ -104,7 +106,7 @@
         let mut chunk = self.completion_chunk(json!([]));
         chunk["usage"] = json!({"prompt_tokens": prompt_tokens, "completion_tokens": completion_tokens,
             "total_tokens": prompt_tokens.saturating_add(completion_tokens),
-            "prompt_tokens_details": {"cached_tokens": 0}});
+            "prompt_tokens_details": {"cached_tokens": self.cached_tokens}});
         format!("data: {chunk}\n\n")
     }
 
--- /dev/null
+++ b/tests/session_rejections/cluster.rs
@@ -0,0 +1,145 @@
+//! One run of a seed: routers as processes, model servers that cache prompts, links with faults
+//! between them, and clients.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use cluster_test::discovery::{Discovery, server_name};
+use cluster_test::{ClusterError, Link, RouterProcess, router_config};
+use fake_servers::{ModelServer, RequestLog, ServerOptions};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use super::faults::Faults;
+use super::sessions::{Session, SessionClient};
+
+/// The classes of the routers' settings.
+pub const CLASSES: [&str; 2] = ["hint", "batch-mark"];
+/// Tokens of an answer.
+pub const MAX_OUTPUT_TOKENS: u64 = 10;
+
+const ROUTERS: usize = 3;
+const SERVERS: usize = 9;
+/// Clients of all routers together: they keep the servers about half busy.
+const CLIENTS: usize = 36;
+/// Clients send requests for so long.
+const LENGTH: Duration = Duration::from_secs(14);
+/// What a server can do at once, and how fast.
+const SLOTS: usize = 8;
+const PREFILL_TIME_PER_TOKEN: Duration = Duration::from_micros(400);
+const TOKEN_INTERVAL: Duration = Duration::from_millis(40);
+
+/// What came of a run.
+pub struct SeedRun {
+    pub sessions: Vec<Session>,
+    /// Requests that were not served by reason, as far as the routers logged them.
+    pub reasons: BTreeMap<String, usize>,
+}
+
+/// Runs a seed with processes of this program.
+pub async fn run_seed(seed: u64, program: &Path) -> Result<SeedRun, ClusterError> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let folder = tempfile::tempdir()?;
+    let servers = start_servers().await?;
+    let mut links = Vec::new();
+    for _ in 0..ROUTERS {
+        links.push(open_links(&servers, &mut rng).await?);
+    }
+    let addresses: Vec<Vec<SocketAddr>> = links
+        .iter()
+        .map(|links| links.iter().map(|link| link.address).collect())
+        .collect();
+    let discovery = Discovery::start(addresses.clone()).await?;
+    let mut processes = Vec::new();
+    for (router, servers) in addresses.iter().enumerate() {
+        let mut config = router_config(ROUTERS, router, discovery.addresses[router], servers);
+        set_classes(&mut config);
+        let folder = folder.path().join(router.to_string());
+        processes.push(RouterProcess::start(program, &folder, &config).await?);
+    }
+    let until = Instant::now() + LENGTH;
+    let routers: Vec<SocketAddr> = processes.iter().map(|process| process.listen).collect();
+    let clients = (0..CLIENTS).map(|_| {
+        let client = SessionClient {
+            routers: routers.clone(),
+            until,
+            rng: StdRng::seed_from_u64(rng.random()),
+        };
+        client.run()
+    });
+    let clients = futures_util::future::join_all(clients.collect::<Vec<_>>());
+    let mut faults = Faults {
+        servers,
+        links,
+        processes,
+        rng,
+        until,
+    };
+    let (sessions, injected) = tokio::join!(clients, faults.inject());
+    injected?;
+    let logs = faults.processes.iter().map(RouterProcess::log);
+    Ok(SeedRun {
+        sessions: sessions.into_iter().flatten().collect(),
+        reasons: count_reasons(logs),
+    })
+}
+
+async fn start_servers() -> std::io::Result<Vec<ModelServer>> {
+    let request_log = RequestLog::default();
+    let mut servers = Vec::new();
+    for server in 0..SERVERS {
+        let options = ServerOptions {
+            name: server_name(server),
+            max_concurrent_requests: SLOTS,
+            prefill_time_per_token: PREFILL_TIME_PER_TOKEN,
+            token_interval: TOKEN_INTERVAL,
+            answer_tokens: MAX_OUTPUT_TOKENS,
+            lists_models: false,
+            ..ServerOptions::default()
+        };
+        servers.push(ModelServer::start(options, request_log.clone()).await?);
+    }
+    Ok(servers)
+}
+
+/// A router's links to all servers.
+async fn open_links(servers: &[ModelServer], rng: &mut StdRng) -> Result<Vec<Link>, ClusterError> {
+    let mut links = Vec::new();
+    for server in servers {
+        let address = server.address.parse().map_err(std::io::Error::other)?;
+        links.push(Link::open(address, rng.random()).await?);
+    }
+    Ok(links)
+}
+
+/// Two classes with the same objective and different weights.
+fn set_classes(config: &mut Value) {
+    let class = |name: &str, weight: f64| {
+        json!({"name": name, "objective": 0.7, "deadline": 3.0, "effect": "read_like",
+            "streaming": true, "credit": weight, "late-worth": 0.0})
+    };
+    let settings = &mut config["settings"];
+    settings["classes"] = json!([class(CLASSES[0], 3.0), class(CLASSES[1], 1.0)]);
+    settings["specifics"]["aim-us-per-1000-prompt-tokens"] = json!([130_000.0, 130_000.0]);
+    settings["specifics"]["token-aim"] = json!([0.08, 0.08]);
+}
+
+/// Counts the reasons in the routers' logs, which have a line a second at most about a request that
+/// is not served.
+fn count_reasons(logs: impl Iterator<Item = String>) -> BTreeMap<String, usize> {
+    let mut reasons = BTreeMap::new();
+    for log in logs {
+        for line in log
+            .lines()
+            .filter(|line| line.contains("ms after it was read"))
+        {
+            let reason = line.split(['(', ')']).nth(1).unwrap_or_default();
+            *reasons.entry(reason.into()).or_default() += 1;
+        }
+    }
+    reasons
+}
