--- a/tests/session_affinity.rs
+++ b/tests/session_affinity.rs
@@ -182,3 +182,25 @@
     let migrated = fleet.submit(1, 15_000);
     assert!(matches!(migrated, TurnOutcome::SentTo(to) if to != at));
 }
+
+/// Overload by short requests that have no time: a session is served where its server is idle,
+/// whatever its value for its cost.
+#[test]
+fn idle_server_takes_its_sessions() {
+    let mut fleet = CachingFleet::new(3);
+    fleet.warm_up(6).expect("a server");
+    for session in 101..=130 {
+        for _ in 0..10 {
+            fleet.last += 1;
+            let expires_at = fleet.gateway.now + Span::from_millis(101);
+            let hopeless = arrival(fleet.last).with_expires_at(expires_at);
+            let received = Event::RequestReceived(hopeless);
+            let actions = fleet.gateway.step(100_000, vec![received]);
+            assert!(is_rejected(&actions, fleet.last));
+        }
+        assert!(
+            fleet.complete_turn(session, 15_000).is_some(),
+            "session {session}"
+        );
+    }
+}
