Misses by faults cut the admitted fraction less than those by overload

Callers saw sessions shed at a router whose fraction had collapsed to 0.1 while servers had 1 or 2 requests of 8, and while its neighbours admitted nearly all.

Cause: every miss cut the fraction alike. A server that hangs or is cut off loses what it is sent, however little that is; the fewer requests are admitted, the larger is its share of them, so the fraction feeds its own fall. Above one miss in eight it fell until a recovery. Ruled out: missed token intervals (no first token came from a replica with a full step), late queue (4 of 38 misses).

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -19,6 +19,9 @@
 /// Weight of a new outcome in the running means: about the last 32 count. Value: a design choice,
 /// not measured alone.
 const OUTCOME_SAMPLE_WEIGHT: f64 = 1.0 / 32.0;
+/// The admitted fraction doesn't fall below this power of the fraction of requests that are in time:
+/// misses that shedding doesn't end come from faults.
+const MIN_IN_TIME_EXPONENT: i32 = 4;
 /// The time in which the admitted fraction grows back, in objectives. Value: admitted streams show
 /// their token interval only at their end, several objectives later.
 const RECOVERY_OBJECTIVES: f64 = 16.0;
@@ -165,25 +168,27 @@
         )
     }
 
-    /// Records a first token that came in time, or missed its objective. A miss is weighted by the
-    /// time between outcomes, so that misses over one objective's time cut the admitted fraction
-    /// equally at any request rate.
-    pub(super) fn record_outcome(&mut self, in_time: bool, now: Timestamp) {
+    /// Records a first token that came in time, for 0, or missed its objective. `missed` is how far
+    /// a miss tells of overload, up to 1. A miss is weighted by the time between outcomes, so that
+    /// misses over one objective's time cut the admitted fraction equally at any request rate.
+    pub(super) fn record_outcome(&mut self, missed: f64, now: Timestamp) {
         self.grow(now);
         let objectives = (now - self.last_outcome).as_secs_f64() / self.shortest_objective;
         self.last_outcome = now;
-        let missed = f64::from(u8::from(!in_time));
         running_mean::update(
             &mut self.outcome_spacing,
             objectives.min(1.0),
             OUTCOME_SAMPLE_WEIGHT,
         );
         running_mean::update(&mut self.miss_rate, missed, OUTCOME_SAMPLE_WEIGHT);
-        if !in_time {
+        if missed > 0.0 {
             let overload = (self.miss_rate / OVERLOAD_MISS_RATE).min(1.0);
-            let cut = 2.0 * self.outcome_spacing * overload;
-            self.admitted_fraction =
-                (self.admitted_fraction * (1.0 - cut)).max(MIN_ADMITTED_FRACTION);
+            let cut = missed * 2.0 * self.outcome_spacing * overload;
+            let least = (1.0 - self.miss_rate)
+                .powi(MIN_IN_TIME_EXPONENT)
+                .max(MIN_ADMITTED_FRACTION)
+                .min(self.admitted_fraction);
+            self.admitted_fraction = (self.admitted_fraction * (1.0 - cut)).max(least);
         }
     }
 }
--- a/src/policy/admission/tests.rs
+++ b/src/policy/admission/tests.rs
@@ -129,3 +129,17 @@
     }
     assert!(longest < 12, "{longest} rejections in a row");
 }
+
+/// Guards against a fraction that collapses by misses which shedding doesn't end: with a quarter of
+/// the requests lost to faults, far more than a few are admitted.
+#[test]
+fn misses_by_faults_leave_much_admitted() {
+    let mut control = control(1.0);
+    let mut least: f64 = 1.0;
+    for n in 0..600_u64 {
+        let missed = if n % 4 == 0 { 1.0 } else { 0.0 };
+        control.record_outcome(missed, Timestamp::from_millis(100 * n));
+        least = least.min(control.admitted_fraction);
+    }
+    assert!(least > 0.2, "{least}");
+}
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -152,6 +152,10 @@
         attempt.phase = AttemptPhase::Ended {
             never_ran: end.outcome.never_ran(),
         };
+        let failure = end
+            .outcome
+            .is_fault()
+            .then(|| self.overload_evidence(ended.replica));
         self.remove_awaited(id, end.attempt as usize, &ended);
         let replica = &mut self.replicas[ended.replica];
         replica.in_flight_by_class[arrival.class as usize] -= 1;
@@ -173,7 +177,7 @@
         {
             self.set_maturity(ended.replica, self.now);
         }
-        self.retry_or_complete(id, end.outcome.is_fault(), actions);
+        self.retry_or_complete(id, failure, actions);
         self.forget_if_finished(id);
     }
 
--- a/src/policy/measurements.rs
+++ b/src/policy/measurements.rs
@@ -5,6 +5,7 @@
 use super::estimators::prefix_cache::CacheSample;
 use super::estimators::throughput::PrefillSample;
 use super::in_flight::{Attempt, AttemptPhase};
+use super::replica::ReplicaState;
 use super::replica_table::ReplicaIndex;
 use crate::interface::{Arrival, AttemptEnded};
 
@@ -15,9 +16,30 @@
 impl Balancer {
     /// Records whether a request of a model had its first token in time.
     pub(super) fn record_admission_outcome(&mut self, model: u32, in_time: bool) {
+        self.record_admission_miss(model, f64::from(u8::from(!in_time)));
+    }
+
+    /// Records a miss of a request of a model, and how far it tells of overload.
+    pub(super) fn record_admission_miss(&mut self, model: u32, missed: f64) {
         self.admission
             .for_model(model, &self.settings, self.now)
-            .record_outcome(in_time, self.now);
+            .record_outcome(missed, self.now);
+    }
+
+    /// How far a miss at a replica tells of overload, from 0 to 1. One that has failed since its
+    /// last answer shows its own fault again, unless many others fail too: without that the misses
+    /// of a few would weigh the more, the fewer requests are admitted.
+    pub(super) fn overload_evidence(&self, index: ReplicaIndex) -> f64 {
+        if self.replicas[index].consecutive_failures == 0 {
+            return 1.0;
+        }
+        let in_service = self
+            .replicas
+            .iter()
+            .filter(|replica| replica.is_in_service());
+        let failing = |replica: &&ReplicaState| replica.consecutive_failures > 0;
+        let total = in_service.clone().count().max(1);
+        in_service.filter(failing).count() as f64 / total as f64
     }
 
     /// Records what a complete answer shows of prefill, decode steps and the prompt's cached
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -52,10 +52,11 @@
     }
 
     /// An attempt has ended: a request with no other in flight is queued again, or completed.
+    /// `failure` is there where it failed: how far that tells of overload.
     pub(super) fn retry_or_complete(
         &mut self,
         id: RequestId,
-        failed: bool,
+        failure: Option<f64>,
         actions: &mut Vec<Action>,
     ) {
         let Some(request) = self.requests.get(&id) else {
@@ -69,7 +70,7 @@
         let idempotency = self.settings.classes[arrival.class as usize].idempotency;
         let repeatable = idempotency != Idempotency::NonIdempotent
             || request.first_that_may_have_run().is_none();
-        if failed && attempts_left && self.now < request.due && repeatable {
+        if failure.is_some() && attempts_left && self.now < request.due && repeatable {
             let slot = self.draw_slow_start_slot();
             if let Some(request) = self.requests.get_mut(&id) {
                 request.slow_start_slot = slot;
@@ -83,8 +84,8 @@
         }
         // only a request that is not served at all counts as missed: a replica may reject some
         // while others have capacity, which is no reason to shed load
-        if failed {
-            self.record_admission_outcome(arrival.model, false);
+        if let Some(overload_evidence) = failure {
+            self.record_admission_miss(arrival.model, overload_evidence);
         }
         self.complete(id, UnservedReason::AttemptsFailed, actions);
     }
