An attempt that never ran is not remembered as its session's last turn

Callers saw a session's next turn sent to a full server that had nothing of it cached, rejected there too, or rejected for its cost.

Cause: the last turn was remembered at the send and kept, though a full server rejects the request unread, or no connection comes up. The replica that does have the prompt was forgotten, so the next turn was placed by a belief that the failure had proved wrong. Evidence: a turn that another server rejects sends the next one there again, to server 2 instead of 1 (tests/session_affinity.rs::rejected_attempt_moves_no_session without the repair).

Now an attempt that never ran restores the turn before it. A late one stays remembered: it may have run, and is cached then.

--- a/src/lru.rs
+++ b/src/lru.rs
@@ -40,6 +40,12 @@
         self.young.insert(key, value);
     }
 
+    /// Removes a key's value.
+    pub(crate) fn remove(&mut self, key: &K) {
+        self.young.remove(key);
+        self.old.remove(key);
+    }
+
     /// Entries of both generations.
     #[cfg(test)]
     fn len(&self) -> usize {
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -80,6 +80,18 @@
         }
     }
 
+    /// Forgets that a replica will have the prompt cached, as the attempt there never ran: the
+    /// session's last turn is the one before.
+    fn forget_prompt(&mut self, arrival: &Arrival, attempt: &Attempt) {
+        let Some(session) = arrival.session else {
+            return;
+        };
+        match attempt.previous_turn {
+            Some(previous) => self.last_turns.insert(session, previous),
+            None => self.last_turns.remove(&session),
+        }
+    }
+
     /// A new attempt at a replica; its tokens count as dispatched there from here on.
     fn new_attempt(&mut self, arrival: &Arrival, index: ReplicaIndex) -> Attempt {
         let cache_estimate = self.cache_estimate(arrival, Some(index));
@@ -100,6 +112,9 @@
             sent_at: self.now,
             queued_tokens: replica.awaited_tokens + uncached_tokens,
             uncached_tokens,
+            previous_turn: arrival
+                .session
+                .and_then(|session| self.last_turns.get(&session)),
             cache_estimate,
             model_load_time: model_load_time.unwrap_or_default(),
             phase: AttemptPhase::AwaitingFirstToken,
@@ -160,6 +175,9 @@
         let replica = &mut self.replicas[ended.replica];
         replica.in_flight_by_class[arrival.class as usize] -= 1;
         replica.in_flight -= 1;
+        if end.outcome.never_ran() {
+            self.forget_prompt(&arrival, &ended);
+        }
         if end.outcome == Outcome::Completed {
             self.record_answer(&arrival, &ended, &end);
             self.record_session_answer(&arrival);
--- a/src/policy/in_flight.rs
+++ b/src/policy/in_flight.rs
@@ -1,6 +1,7 @@
 //! The state of one request from its arrival until it is complete and none of its attempts is in
 //! flight. Transitions are made in `arrival`, `dispatch`, `attempts` and `completion`.
 
+use super::balancer::LastTurn;
 use super::estimators::prefix_cache::CacheEstimate;
 use super::replica_table::ReplicaIndex;
 use crate::interface::{Arrival, Span, Timestamp};
@@ -28,6 +29,8 @@
     pub(super) queued_tokens: f64,
     /// Uncached prompt tokens of this request alone, as estimated at the send.
     pub(super) uncached_tokens: f64,
+    /// The session's last turn before it.
+    pub(super) previous_turn: Option<LastTurn>,
     /// What the replica was expected to have cached of the prompt.
     pub(super) cache_estimate: CacheEstimate,
     /// How long the replica had to load the model first.
--- a/tests/session_affinity.rs
+++ b/tests/session_affinity.rs
@@ -209,3 +209,27 @@
         );
     }
 }
+
+/// A turn that a full server rejects has run nowhere: the session's next turn goes where the last one
+/// that ran is cached, and not to the full server.
+#[test]
+fn rejected_attempt_moves_no_session() {
+    let mut fleet = CachingFleet::new(4);
+    let at = fleet.warm_up(3).expect("a server");
+    // its server is late with another session's turn, and the session's turn goes elsewhere
+    assert_eq!(fleet.submit(1, 15_000), TurnOutcome::SentTo(at));
+    let late = fleet.last;
+    fleet
+        .gateway
+        .step(500_000, vec![Event::TimerFired { timer_id: 0 }]);
+    let migrated = fleet.submit(1, 15_000);
+    assert!(matches!(migrated, TurnOutcome::SentTo(to) if to != at));
+    fleet.end(Outcome::Rejected, 1_000, None);
+    let first = first_token(late, 0, 600_000);
+    fleet.gateway.step(100_000, vec![first]);
+    fleet.gateway.step(
+        10_000,
+        vec![attempt_ended(late, 0, Outcome::Completed, true)],
+    );
+    assert_eq!(fleet.submit(1, 15_300), TurnOutcome::SentTo(at));
+}
