Metric for the fraction of requests that admission control admits

Why sessions were shed could not be told from the records: the admitted fraction stood nowhere. Now router_admitted_fraction shows it, the lowest of all models. Test in src/ops/metrics/tests.rs.

--- a/src/core/actor/run.rs
+++ b/src/core/actor/run.rs
@@ -139,5 +139,7 @@
             self.exclusions.listed_servers(),
             self.balancer.unavailable_replicas(),
         );
+        self.metrics
+            .set_admitted_fraction(self.balancer.admitted_fraction());
     }
 }
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use tracing::warn;
 
 use crate::interface::UnservedReason;
@@ -49,6 +49,7 @@
     attempts_sent: IntCounter,
     listed_servers: IntGauge,
     avoided_servers: IntGauge,
+    admitted_fraction: Gauge,
     drained: IntGauge,
     succeeded: IntGauge,
     omitted_log_lines: IntGauge,
@@ -77,6 +78,12 @@
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone())).map(|()| gauge)
         };
+        let admitted_fraction = Gauge::new(
+            "router_admitted_fraction",
+            "Fraction of requests that admission control admits, the lowest of all models.",
+        )?;
+        admitted_fraction.set(1.0);
+        registry.register(Box::new(admitted_fraction.clone()))?;
         let unserved = Opts::new("router_unserved", "Requests rejected or failed, by reason.");
         let unserved = IntCounterVec::new(unserved, &["reason"])?;
         registry.register(Box::new(unserved.clone()))?;
@@ -92,6 +99,7 @@
                 "router_cluster_unhealthy",
                 "Listed model servers that are not in service or ejected after faults.",
             )?,
+            admitted_fraction,
             drained: gauge("router_drained", "1 while the router is drained.")?,
             succeeded: gauge(
                 "router_succeeded",
@@ -138,6 +146,11 @@
         self.avoided_servers.set(gauge_value(avoided));
     }
 
+    /// Sets the fraction of requests that is admitted.
+    pub fn set_admitted_fraction(&self, fraction: f64) {
+        self.admitted_fraction.set(fraction);
+    }
+
     /// Sets whether the router is drained.
     pub fn set_drained(&self, is_drained: bool) {
         self.drained.set(is_drained.into());
--- a/src/ops/metrics/tests.rs
+++ b/src/ops/metrics/tests.rs
@@ -93,3 +93,11 @@
         assert!(text.contains(&line), "{text}");
     }
 }
+
+#[test]
+fn admitted_fraction_is_shown() {
+    let metrics = Metrics::new(&[]);
+    assert!(metrics.encode().contains("router_admitted_fraction 1\n"));
+    metrics.set_admitted_fraction(0.25);
+    assert!(metrics.encode().contains("router_admitted_fraction 0.25\n"));
+}
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -134,6 +134,14 @@
         }
     }
 
+    /// The lowest fraction admitted of any model, as of its last arrival or outcome.
+    pub(super) fn lowest_admitted_fraction(&self) -> f64 {
+        self.by_model
+            .values()
+            .map(|control| control.admitted_fraction)
+            .fold(self.admitted_fraction, f64::min)
+    }
+
     /// The fraction of arrivals that is admitted now.
     pub(super) fn admitted_fraction(&mut self, now: Timestamp) -> f64 {
         self.grow(now);
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -167,6 +167,12 @@
         self.replicas.iter().filter(is_unavailable).count()
     }
 
+    /// The fraction of arrivals that is admitted, from 0 to 1, as of the last one; the lowest of all
+    /// models.
+    pub fn admitted_fraction(&self) -> f64 {
+        self.admission.lowest_admitted_fraction()
+    }
+
     /// Handles a batch of events, then dispatches queued requests. Appends the actions to be
     /// carried out, in their order.
     pub fn step(&mut self, now: Timestamp, events: &[Event], actions: &mut Vec<Action>) {
