--- a/tests/session_rejections/main.rs
+++ b/tests/session_rejections/main.rs
@@ -11,7 +11,7 @@
 use rejections::ClassRejections;
 
 /// Seeds that every run of the test uses.
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=6;
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=16;
 /// Seeds that run concurrently.
 const CONCURRENT_RUNS: usize = 2;
 /// The most by which the fraction of a class's sessions that are rejected throughout may exceed the
