An expensive migration is made after a few rejections; idle servers decide nothing any more

What callers saw stays repaired: a session's rejections in a row raise its value until it migrates, after at most 8 in tests/session_affinity.rs, where before it never did. Its tests and the unit test say so in place of at once.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -31,6 +31,9 @@
 /// The time between outcomes, in objectives, before the first ones. Value: a design choice, soon
 /// replaced.
 const INITIAL_SPACING: f64 = 0.1;
+/// An expensive migration is admitted as if at most this fraction of all arrivals were: it delays
+/// others also where all are admitted.
+const MAX_MIGRATION_FRACTION: f64 = 0.9;
 /// Shortest and longest objective used, in seconds. Value: beyond what settings sensibly have.
 const MIN_OBJECTIVE_SECONDS: f64 = 1e-3;
 const MAX_OBJECTIVE_SECONDS: f64 = 1e3;
@@ -156,7 +159,8 @@
 
     /// Whether a request that was admitted by this draw still is at another value for its cost.
     pub(super) fn still_admits(&self, value: f64, uniform: f64) -> bool {
-        uniform <= self.sampler.probability(value, self.admitted_fraction)
+        let fraction = self.admitted_fraction.min(MAX_MIGRATION_FRACTION);
+        uniform <= self.sampler.probability(value, fraction)
     }
 
     /// Grows the admitted fraction with time, and not with outcomes, of which there are few while
--- a/src/policy/arrival.rs
+++ b/src/policy/arrival.rs
@@ -57,7 +57,7 @@
             .admission
             .for_model(arrival.model, &self.settings, self.now);
         let admitted = admission.admits(priority_weight / cost, admission_draw, self.now);
-        let reason = if !admitted && !self.cached_replica_is_idle(&arrival) {
+        let reason = if !admitted {
             Some(UnservedReason::Shed)
         } else if !self.has_eligible_replica(arrival.request) {
             Some(UnservedReason::NoReplica)
@@ -68,16 +68,6 @@
             self.complete(arrival.request, reason, actions);
         }
     }
-
-    /// Whether the replica that likely has the prompt cached is idle, as far as this router knows:
-    /// it takes requests, has answered its last one and has none of this router's in flight.
-    /// Overload elsewhere is no reason to reject a request that it can take.
-    fn cached_replica_is_idle(&self, arrival: &Arrival) -> bool {
-        self.cached_at(arrival).is_some_and(|index| {
-            let replica = &self.replicas[index];
-            self.is_mature(index) && replica.in_flight == 0 && replica.consecutive_failures == 0
-        })
-    }
 }
 
 /// When a request's first token is due: by its class's latency objective, which grows with the
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -61,7 +61,8 @@
 
     /// Whether a request is still admitted, by its cost at the replica selected. One that would
     /// leave the replica which has its prompt cached, because that is late, adds a whole prefill
-    /// ahead of many that are cached; its client's retry finds the prompt still there.
+    /// ahead of many that are cached; its client's retry finds the prompt still there. A session
+    /// that was rejected gains value, so it migrates after a few rejections.
     fn admits_migration(&mut self, id: RequestId, replica: ReplicaIndex) -> bool {
         let Some(request) = self.requests.get(&id) else {
             return false;
