Refusals by class, reason and available servers; miss causes, miss rate, per-second log

The log named one refusal a second and neither the admitted fraction nor whether a server could have taken the request, so none of the incident's hypotheses could be told apart (missing evidence).

Added: router_refusals{group,reason,servers}, router_admission_misses{cause}, router_miss_rate, router_mature_servers, and a log line a second with the counts by class and reason, the fraction, the miss rate and the misses by cause. No decision changes.

--- a/crates/simulator_adapter/src/reply/tests.rs
+++ b/crates/simulator_adapter/src/reply/tests.rs
@@ -9,6 +9,12 @@
 fn actions_with_lines() -> [(Action, &'static str); 9] {
     let (request, replica) = (RequestId(5), ReplicaId::from_name("replica_a"));
     let (reason, retry_after) = (UnservedReason::Shed, Some(Span::from_millis(250)));
+    let reject = |retry_after| Action::Reject {
+        request,
+        retry_after,
+        reason,
+        available_replicas: 0,
+    };
     [
         (
             Action::StartAttempt {
@@ -33,23 +39,16 @@
             },
             "RETRACT i=3 ref=5 trial=1",
         ),
+        (reject(retry_after), "REFUSE i=3 ref=5 retry-in=0.250000"),
+        (reject(None), "REFUSE i=3 ref=5"),
         (
-            Action::Reject {
+            Action::Fail {
                 request,
-                retry_after,
                 reason,
+                available_replicas: 0,
             },
-            "REFUSE i=3 ref=5 retry-in=0.250000",
+            "ABORT i=3 ref=5",
         ),
-        (
-            Action::Reject {
-                request,
-                retry_after: None,
-                reason,
-            },
-            "REFUSE i=3 ref=5",
-        ),
-        (Action::Fail { request, reason }, "ABORT i=3 ref=5"),
         (
             Action::CheckHealth { replica },
             "POLL i=3 replica=replica_a",
--- a/src/core/actor/actions.rs
+++ b/src/core/actor/actions.rs
@@ -12,6 +12,7 @@
 use crate::interface::{
     Action, Event, HealthCheckEnded, Outcome, ReplicaId, RequestId, Span, UnservedReason,
 };
+use crate::ops::refusals::Refusal;
 
 impl Core {
     /// Executes an action that the decision step at time `at` has returned.
@@ -29,20 +30,29 @@
                 request,
                 retry_after,
                 reason,
+                available_replicas,
             } => {
                 let retry_after = retry_after.map(Duration::from);
-                self.answer(request, reason, |history| Answer::Rejected {
-                    retry_after,
-                    reason,
-                    forwarded: history.forwarded(),
-                    attempts: history.attempts(),
+                self.answer(request, reason, available_replicas, |history| {
+                    Answer::Rejected {
+                        retry_after,
+                        reason,
+                        forwarded: history.forwarded(),
+                        attempts: history.attempts(),
+                    }
                 });
             }
-            Action::Fail { request, reason } => {
-                self.answer(request, reason, |history| Answer::Failed {
-                    reason,
-                    forwarded: history.forwarded(),
-                    attempts: history.attempts(),
+            Action::Fail {
+                request,
+                reason,
+                available_replicas,
+            } => {
+                self.answer(request, reason, available_replicas, |history| {
+                    Answer::Failed {
+                        reason,
+                        forwarded: history.forwarded(),
+                        attempts: history.attempts(),
+                    }
                 });
             }
             Action::CheckHealth { replica } => self.check_health(replica),
@@ -60,6 +70,7 @@
         &mut self,
         request: RequestId,
         reason: UnservedReason,
+        available_servers: u32,
         answer: impl FnOnce(&AttemptHistory) -> Answer,
     ) {
         let Some(in_flight) = self.requests.get_mut(&request) else {
@@ -69,7 +80,13 @@
             if in_flight.interactive {
                 self.load.record_rejection();
             }
-            self.metrics.record_unserved(reason);
+            let refusal = Refusal {
+                class: in_flight.class,
+                reason,
+                available_servers,
+            };
+            self.metrics.record_refusal(refusal);
+            self.refusals.record(refusal);
             let answer = answer(&in_flight.history);
             let verdict = match answer {
                 Answer::Rejected { .. } => "rejected",
--- a/src/core/actor/requests.rs
+++ b/src/core/actor/requests.rs
@@ -13,6 +13,7 @@
 use crate::core::request_state::RequestState;
 use crate::core::{Answer, Request, RequestAttributes};
 use crate::interface::{Arrival, Event, Outcome, RequestId, Span, Timestamp, UnservedReason};
+use crate::ops::refusals::Refusal;
 
 /// Returns the attributes of a request that are passed to the decision module.
 fn arrival(request: RequestId, attributes: &RequestAttributes, expires_at: Timestamp) -> Arrival {
@@ -44,7 +45,11 @@
     ) {
         if self.requests.len() >= self.max_requests_in_flight {
             // The decision module is not notified of requests beyond the limit, as on the platform.
-            self.metrics.record_unserved(UnservedReason::InFlightLimit);
+            self.metrics.record_refusal(Refusal {
+                class: request.attributes.class,
+                reason: UnservedReason::InFlightLimit,
+                available_servers: 0,
+            });
             let _ = answer_sender.send(Answer::Rejected {
                 retry_after: None,
                 reason: UnservedReason::InFlightLimit,
@@ -72,6 +77,7 @@
             history: AttemptHistory::new(attributes.prior_attempts, retry_window),
             payload,
             client,
+            class: attributes.class,
             expires_at,
             received_at: attributes.received_at,
             interactive: attributes.interactive,
--- a/src/core/actor/run.rs
+++ b/src/core/actor/run.rs
@@ -144,7 +144,13 @@
             self.exclusions.listed_servers(),
             self.balancer.unavailable_replicas(),
         );
-        self.metrics
-            .set_admitted_fraction(self.balancer.admitted_fraction());
+        let status = self.balancer.admission_status();
+        self.metrics.set_admission(&status);
+        if let Some(refusals) = self.refusals.take_due(at) {
+            info!(
+                "requests not served: {refusals}; admitted fraction {:.2}, miss rate {:.2}, {} servers take requests, misses {:?}",
+                status.admitted_fraction, status.miss_rate, status.mature_replicas, status.misses
+            );
+        }
     }
 }
--- a/src/core/actor/timers.rs
+++ b/src/core/actor/timers.rs
@@ -10,6 +10,7 @@
 use crate::core::request_state::RequestState;
 use crate::core::{Answer, AttemptId};
 use crate::interface::{Event, Outcome, RequestId, Timestamp, UnservedReason};
+use crate::ops::refusals::Refusal;
 
 /// The purpose of a timer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -89,7 +90,11 @@
             .state
             .attempt()
             .is_some_and(|attempt| !attempt.gate.cancel_unstarted());
-        self.metrics.record_unserved(UnservedReason::Expired);
+        self.metrics.record_refusal(Refusal {
+            class: in_flight.class,
+            reason: UnservedReason::Expired,
+            available_servers: 0,
+        });
         let _ = answer_sender.send(Answer::Failed {
             reason: UnservedReason::Expired,
             forwarded: in_flight.history.forwarded() || attempt_started,
--- a/src/core/in_flight_request.rs
+++ b/src/core/in_flight_request.rs
@@ -19,6 +19,8 @@
     pub payload: Payload,
     /// The client that waits for the answer; `None` if no client can disconnect.
     pub client: Option<Arc<dyn Client>>,
+    /// Its class.
+    pub class: u32,
     /// When the client stops waiting.
     pub expires_at: Timestamp,
     /// When the request was completely received.
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -29,6 +29,8 @@
         retry_after: Option<Span>,
         /// Why the request is rejected.
         reason: UnservedReason,
+        /// The number of replicas that could have taken the request, as far as the router knew.
+        available_replicas: u32,
     },
     /// Fail a request, as its final answer. Whether the client can safely retry it is unknown.
     Fail {
@@ -36,6 +38,8 @@
         request: RequestId,
         /// Why the request failed.
         reason: UnservedReason,
+        /// The number of replicas that could have taken the request, as far as the router knew.
+        available_replicas: u32,
     },
     /// Check a replica's health.
     CheckHealth {
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -4,6 +4,7 @@
 //! Only types are defined here: `policy` makes the decisions, and `core` carries them out.
 
 mod action;
+mod admission_status;
 mod class;
 mod endpoint_list;
 mod event;
@@ -14,6 +15,7 @@
 mod unserved_reason;
 
 pub use action::Action;
+pub use admission_status::{AdmissionStatus, MissCause};
 pub use class::{Class, DeduplicationScope, Idempotency};
 pub use endpoint_list::{EndpointListKind, EndpointState, ReplicaEntry, ServedModel, ServedModels};
 pub use event::{Arrival, AttemptEnded, Event, HealthCheckEnded, Outcome};
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -1,16 +1,19 @@
 //! The router's metrics. Callers update them directly, without sending a message to an actor. The
 //! operators' address serves them in text form.
 
+mod admission;
 mod client_side;
 
 use std::sync::Arc;
 
-use prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use tracing::warn;
 
-use crate::interface::UnservedReason;
+use crate::interface::AdmissionStatus;
 use crate::logs;
+use crate::ops::refusals::Refusal;
 
+use admission::AdmissionMetrics;
 pub use client_side::{ClientMetrics, ConnectionEnd};
 
 /// How a request ended for its client.
@@ -44,17 +47,17 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
+    class_names: Vec<String>,
     /// One counter per outcome, indexed by class.
     outcomes: Vec<[IntCounter; OUTCOME_LABELS.len()]>,
     requests_in_flight: IntGauge,
     attempts_sent: IntCounter,
     listed_servers: IntGauge,
     unavailable_servers: IntGauge,
-    admitted_fraction: Gauge,
     drained: IntGauge,
     succeeded: IntGauge,
     omitted_log_lines: IntGauge,
-    unserved: [IntCounter; UnservedReason::LABELS.len()],
+    admission: AdmissionMetrics,
     clients: ClientMetrics,
 }
 
@@ -79,19 +82,11 @@
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone())).map(|()| gauge)
         };
-        let admitted_fraction = Gauge::new(
-            "router_admitted_fraction",
-            "Fraction of requests that admission control admits, the lowest of all models.",
-        )?;
-        admitted_fraction.set(1.0);
-        registry.register(Box::new(admitted_fraction.clone()))?;
-        let unserved = Opts::new("router_unserved", "Requests rejected or failed, by reason.");
-        let unserved = IntCounterVec::new(unserved, &["reason"])?;
-        registry.register(Box::new(unserved.clone()))?;
         let counters_of = |class: &String| {
             OUTCOME_LABELS.map(|outcome| transactions.with_label_values(&[class, outcome]))
         };
         Ok(Metrics {
+            class_names: classes.to_vec(),
             outcomes: classes.iter().map(counters_of).collect(),
             requests_in_flight: gauge("router_current", "Requests in flight.")?,
             attempts_sent,
@@ -100,13 +95,12 @@
                 "router_cluster_unhealthy",
                 "Listed model servers that are not in service or ejected after faults.",
             )?,
-            admitted_fraction,
             drained: gauge("router_drained", "1 while the router is drained.")?,
             succeeded: gauge(
                 "router_succeeded",
                 "1 once a successor process has taken over.",
             )?,
-            unserved: UnservedReason::LABELS.map(|label| unserved.with_label_values(&[label])),
+            admission: AdmissionMetrics::register(&registry, classes)?,
             omitted_log_lines: gauge(
                 "router_log_lines_omitted",
                 "Lines missing in the log, as it was full.",
@@ -136,9 +130,14 @@
         self.attempts_sent.inc();
     }
 
-    /// Counts a request that was rejected or failed for this reason.
-    pub fn record_unserved(&self, reason: UnservedReason) {
-        self.unserved[reason as usize].inc();
+    /// The names of the request classes.
+    pub fn class_names(&self) -> &[String] {
+        &self.class_names
+    }
+
+    /// Counts a request that was rejected or failed.
+    pub fn record_refusal(&self, refusal: Refusal) {
+        self.admission.record_refusal(refusal);
     }
 
     /// Sets how many model servers are listed, and how many of them are not in service or ejected
@@ -148,9 +147,9 @@
         self.unavailable_servers.set(gauge_value(unavailable));
     }
 
-    /// Sets the fraction of requests that admission control admits.
-    pub fn set_admitted_fraction(&self, fraction: f64) {
-        self.admitted_fraction.set(fraction);
+    /// Sets the state of admission control.
+    pub fn set_admission(&self, status: &AdmissionStatus) {
+        self.admission.set_status(status);
     }
 
     /// Sets whether the router is drained.
--- a/src/ops/metrics/tests.rs
+++ b/src/ops/metrics/tests.rs
@@ -1,6 +1,7 @@
 use proptest::prelude::*;
 
 use super::*;
+use crate::interface::UnservedReason;
 
 /// The value of a metric in the encoded text.
 fn value(text: &str, name: &str) -> u64 {
@@ -84,21 +85,56 @@
 }
 
 #[test]
-fn unserved_requests_are_counted_by_reason() {
-    let metrics = Metrics::new(&[]);
-    metrics.record_unserved(UnservedReason::NoReplica);
-    metrics.record_unserved(UnservedReason::Ending);
+fn refusals_are_counted_by_reason() {
+    let metrics = Metrics::new(&["hint".into()]);
+    let refusal = |reason, available_servers| Refusal {
+        class: 0,
+        reason,
+        available_servers,
+    };
+    metrics.record_refusal(refusal(UnservedReason::NoReplica, 0));
+    metrics.record_refusal(refusal(UnservedReason::Ending, 2));
     let text = metrics.encode();
     for (label, count) in [("no_replica", 1), ("ending", 1), ("shed", 0)] {
         let line = format!("router_unserved{{reason=\"{label}\"}} {count}\n");
         assert!(text.contains(&line), "{text}");
     }
+    for (reason, servers, count) in [
+        ("no_replica", "none", 1),
+        ("no_replica", "available", 0),
+        ("ending", "available", 1),
+    ] {
+        let line = format!(
+            "router_refusals{{group=\"hint\",reason=\"{reason}\",servers=\"{servers}\"}} {count}\n"
+        );
+        assert!(text.contains(&line), "{text}");
+    }
+    for (label, count) in [("no_replica", 1), ("ending", 1), ("shed", 0)] {
+        let line = format!("router_unserved{{reason=\"{label}\"}} {count}\n");
+        assert!(text.contains(&line), "{text}");
+    }
 }
 
 #[test]
-fn admitted_fraction_is_exported() {
+fn admission_status_is_exported() {
     let metrics = Metrics::new(&[]);
     assert!(metrics.encode().contains("router_admitted_fraction 1\n"));
-    metrics.set_admitted_fraction(0.25);
-    assert!(metrics.encode().contains("router_admitted_fraction 0.25\n"));
+    let status = AdmissionStatus {
+        admitted_fraction: 0.25,
+        miss_rate: 0.5,
+        mature_replicas: 3,
+        misses: [1, 2, 3],
+    };
+    metrics.set_admission(&status);
+    metrics.set_admission(&status);
+    let text = metrics.encode();
+    for line in [
+        "router_admitted_fraction 0.25\n",
+        "router_miss_rate 0.5\n",
+        "router_mature_servers 3\n",
+        "router_admission_misses{cause=\"slow_steps\"} 1\n",
+        "router_admission_misses{cause=\"attempts_failed\"} 3\n",
+    ] {
+        assert!(text.contains(line), "{text}");
+    }
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -5,3 +5,4 @@
 pub mod exclusions;
 pub mod maintenance_state;
 pub mod metrics;
+pub mod refusals;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -149,6 +149,14 @@
             .fold(self.admitted_fraction, f64::min)
     }
 
+    /// Returns the highest miss rate of all models, from 0 to 1.
+    pub(super) fn highest_miss_rate(&self) -> f64 {
+        self.by_model
+            .values()
+            .map(|control| control.miss_rate)
+            .fold(self.miss_rate, f64::max)
+    }
+
     /// Returns the fraction of arrivals that is admitted now.
     pub(super) fn admitted_fraction(&mut self, now: Timestamp) -> f64 {
         self.grow(now);
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -8,7 +8,9 @@
 use super::measurements::REPLICA_SAMPLE_WEIGHT;
 use super::replica::AwaitedFirstToken;
 use super::replica_table::ReplicaIndex;
-use crate::interface::{Action, Arrival, AttemptEnded, Outcome, ReplicaId, RequestId, Span};
+use crate::interface::{
+    Action, Arrival, AttemptEnded, MissCause, Outcome, ReplicaId, RequestId, Span,
+};
 
 /// A first token is overdue after this multiple of its predicted time. The error of a healthy
 /// replica's prefill model is smaller.
@@ -148,7 +150,11 @@
         let token_interval = self.settings.classes[class as usize]
             .token_interval_objective
             .as_secs_f64();
-        self.record_admission_outcome(model, step <= FULL_STEP_FRACTION * token_interval);
+        if step <= FULL_STEP_FRACTION * token_interval {
+            self.record_admission_success(model);
+        } else {
+            self.record_admission_miss(model, MissCause::SlowSteps, 1.0);
+        }
     }
 
     /// Handles the end of an attempt; further ends of the same attempt are ignored.
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -18,7 +18,9 @@
 use super::replica::ReplicaState;
 use super::replica_table::{ReplicaIndex, ReplicaTable};
 use super::request_queue::RequestQueue;
-use crate::interface::{Action, Event, ReplicaId, RequestId, Settings, Timestamp};
+use crate::interface::{
+    Action, AdmissionStatus, Event, MissCause, ReplicaId, RequestId, Settings, Timestamp,
+};
 use crate::lru::LruMap;
 
 /// The time in which the weight of a measurement decays to 1/e, as a multiple of the shortest
@@ -82,6 +84,8 @@
     pub(super) dispatched_replicas: Vec<ReplicaIndex>,
     /// Admission control. Changed by `arrival`, and by `measurements` when an outcome is recorded.
     pub(super) admission: AdmissionControl,
+    /// The number of misses by cause. Changed by `measurements`.
+    pub(super) misses: [u64; MissCause::LABELS.len()],
 
     /// The last turn of each session. Changed by `attempts`, read by `cache_affinity`.
     pub(super) last_turns: LruMap<u64, LastTurn>,
@@ -142,6 +146,7 @@
             queue: RequestQueue::new(classes),
             dispatched_replicas: Vec::new(),
             admission,
+            misses: Default::default(),
             last_turns: LruMap::default(),
             session_rejections: LruMap::default(),
             sent_prefixes: LruMap::default(),
@@ -172,10 +177,14 @@
         self.replicas.iter().filter(is_unavailable).count()
     }
 
-    /// The fraction of arriving requests that is admitted, from 0 to 1: the lowest fraction of all
-    /// models, each as of the model's last arrival or outcome.
-    pub fn admitted_fraction(&self) -> f64 {
-        self.admission.lowest_admitted_fraction()
+    /// The state of admission control.
+    pub fn admission_status(&self) -> AdmissionStatus {
+        AdmissionStatus {
+            admitted_fraction: self.admission.lowest_admitted_fraction(),
+            miss_rate: self.admission.highest_miss_rate(),
+            mature_replicas: self.maturity.mature().len(),
+            misses: self.misses,
+        }
     }
 
     /// Handles a batch of events, then dispatches queued requests. Appends the actions that the
--- a/src/policy/completion.rs
+++ b/src/policy/completion.rs
@@ -17,6 +17,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.dequeue(id);
+        let available_replicas = self.available_replicas(id);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -31,11 +32,13 @@
                     request: id,
                     retry_after,
                     reason,
+                    available_replicas,
                 }
             } else {
                 Action::Fail {
                     request: id,
                     reason,
+                    available_replicas,
                 }
             };
             actions.push(answer);
--- a/src/policy/measurements.rs
+++ b/src/policy/measurements.rs
@@ -7,21 +7,24 @@
 use super::in_flight::{Attempt, AttemptPhase};
 use super::replica::ReplicaState;
 use super::replica_table::ReplicaIndex;
-use crate::interface::{Arrival, AttemptEnded};
+use crate::interface::{Arrival, AttemptEnded, MissCause};
 
 /// Weight of a new sample in the running means of a single replica: about the last eight samples
 /// count. In a fleet of many routers, each router gets few samples of one replica.
 pub(super) const REPLICA_SAMPLE_WEIGHT: f64 = 1.0 / 8.0;
 
 impl Balancer {
-    /// Records in a model's admission control whether a request met its objective.
-    pub(super) fn record_admission_outcome(&mut self, model: u32, in_time: bool) {
-        self.record_admission_miss(model, f64::from(u8::from(!in_time)));
+    /// Records in a model's admission control that a request met its objective.
+    pub(super) fn record_admission_success(&mut self, model: u32) {
+        self.admission
+            .for_model(model, &self.settings, self.now)
+            .record_outcome(0.0, self.now);
     }
 
     /// Records a missed objective in a model's admission control, weighted by its overload evidence
-    /// from 0 to 1; 0 records an objective that was met.
-    pub(super) fn record_admission_miss(&mut self, model: u32, evidence: f64) {
+    /// from 0 to 1.
+    pub(super) fn record_admission_miss(&mut self, model: u32, cause: MissCause, evidence: f64) {
+        self.misses[cause as usize] += 1;
         self.admission
             .for_model(model, &self.settings, self.now)
             .record_outcome(evidence, self.now);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -21,6 +21,7 @@
 //! | Which replica is a request sent to? | `selection`, with load reports from `health_checks` |
 //! | When does a replica accept requests, and how long is its backoff after a fault? | `maturity` |
 //! | How many tokens may be sent to a replica at once? | `slack_budget`, from `predictions` |
+//! | How many replicas could take a request? | `availability` |
 //! | What starts an attempt, and what does its outcome change? | `attempts`, `measurements` |
 //! | May a request be sent to a replica, and is it retried after a failure? | `retry` |
 //! | Is the final answer to a request a rejection or a failure? | `completion` |
@@ -43,6 +44,7 @@
 mod admission;
 mod arrival;
 mod attempts;
+mod availability;
 mod balancer;
 mod cache_affinity;
 mod completion;
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -4,7 +4,7 @@
 use super::balancer::Balancer;
 use super::replica_table::ReplicaIndex;
 use super::request_queue::QueueKey;
-use crate::interface::{Action, RequestId, Span, UnservedReason};
+use crate::interface::{Action, MissCause, RequestId, Span, UnservedReason};
 
 impl Balancer {
     /// Inserts a request into the queue, ordered by the time when it is due.
@@ -47,7 +47,7 @@
                 }
                 request => {
                     let model = request.map_or(0, |request| request.arrival.model);
-                    self.record_admission_outcome(model, false);
+                    self.record_admission_miss(model, MissCause::NoTimeLeft, 1.0);
                     self.complete(id, UnservedReason::NoTimeLeft, actions);
                 }
             }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -4,7 +4,9 @@
 use super::balancer::Balancer;
 use super::in_flight::Attempt;
 use super::replica_table::ReplicaIndex;
-use crate::interface::{Action, Class, DeduplicationScope, Idempotency, RequestId, UnservedReason};
+use crate::interface::{
+    Action, Class, DeduplicationScope, Idempotency, MissCause, RequestId, UnservedReason,
+};
 
 impl Balancer {
     /// Returns whether a request may be sent to a replica now. The conditions are: the client waits
@@ -89,7 +91,7 @@
         // Only a request that no attempt could serve counts as a miss: a replica may reject
         // requests while other replicas have capacity, which is no reason to shed load.
         if let Some(overload_evidence) = failure {
-            self.record_admission_miss(arrival.model, overload_evidence);
+            self.record_admission_miss(arrival.model, MissCause::AttemptsFailed, overload_evidence);
         }
         self.complete(id, UnservedReason::AttemptsFailed, actions);
     }
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -159,7 +159,7 @@
     }
 
     /// Returns whether a replica is in service and serves the request's model.
-    fn is_eligible(&self, replica: ReplicaIndex, arrival: &Arrival) -> bool {
+    pub(super) fn is_eligible(&self, replica: ReplicaIndex, arrival: &Arrival) -> bool {
         let replica = &self.replicas[replica];
         replica.serves(arrival.model) && replica.is_in_service()
     }
@@ -167,7 +167,12 @@
     /// Returns the cost of a request at a replica: the predicted first-token time plus penalties,
     /// in seconds. Returns `None` if the first token would not come within `remaining` seconds, or
     /// if nothing more may be sent to the replica now.
-    fn cost(&self, arrival: &Arrival, replica: ReplicaIndex, remaining: f64) -> Option<f64> {
+    pub(super) fn cost(
+        &self,
+        arrival: &Arrival,
+        replica: ReplicaIndex,
+        remaining: f64,
+    ) -> Option<f64> {
         let tokens = self.uncached_tokens(arrival, Some(replica));
         let state = &self.replicas[replica];
         let load_time = state.entry.models.load_time(arrival.model)?;
