Requests are not shed while a replica is idle: routers share idle replicas

Cause: the admitted fraction falls by misses that say nothing of capacity (a request whose time ran out behind a replica that hangs), and nothing asked whether a replica was free at the time of the decision. Where each router sees a few requests a second, nine misses shed two thirds for 16 s. So an idle replica tells a fault from overload. Change: a request that admission would shed is admitted with a probability of 4 times the idle replicas that would be in time, times the Poisson probability that the other routers, at this router's mean in flight, have under 4 there, by the number of routers.

--- a/src/policy/arrival.rs
+++ b/src/policy/arrival.rs
@@ -56,7 +56,8 @@
         let admission = self
             .admission
             .for_model(arrival.model, &self.settings, self.now);
-        let admitted = admission.admits(priority_weight / cost, admission_draw, self.now);
+        let admitted = admission.admits(priority_weight / cost, admission_draw, self.now)
+            || admission_draw <= self.idle_share(arrival.request);
         let reason = if !admitted {
             Some(UnservedReason::Shed)
         } else if !self.has_eligible_replica(arrival.request) {
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -54,6 +54,7 @@
         replica.awaited_tokens = attempt.queued_tokens;
         replica.in_flight_by_class[arrival.class as usize] += 1;
         replica.in_flight += 1;
+        self.attempts_in_flight += 1;
         replica.idle_connections.pop_back();
         request.attempts.push(attempt);
         let timeout =
@@ -183,6 +184,7 @@
         let replica = &mut self.replicas[ended.replica];
         replica.in_flight_by_class[arrival.class as usize] -= 1;
         replica.in_flight -= 1;
+        self.attempts_in_flight -= 1;
         if end.outcome.never_ran() {
             self.restore_previous_turn(&arrival, &ended);
         }
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -29,9 +29,6 @@
 /// Initial value of the running mean of a request's uncached prompt tokens. The first requests soon
 /// replace it.
 const INITIAL_TYPICAL_TOKENS: f64 = 1000.0;
-/// The decode step that is assumed at the start if no token interval objective is shorter, as a
-/// fraction of the shortest first-token objective. A step must be much shorter than the objective.
-const INITIAL_STEP_FRACTION: f64 = 1.0 / 8.0;
 
 /// The last turn of a session that this router sent to a replica.
 #[derive(Clone, Copy, Debug)]
@@ -78,6 +75,8 @@
     /// Requests that are not complete, or have attempts in flight. Inserted by `arrival`, removed
     /// by `completion`.
     pub(super) requests: FxHashMap<RequestId, InFlightRequest>,
+    /// The number of attempts in flight. Changed by `attempts`.
+    pub(super) attempts_in_flight: u32,
     /// The requests that wait to be sent. Changed by `queue`.
     pub(super) queue: RequestQueue,
     /// Replicas that were sent requests since `dispatch` last set their maturity.
@@ -125,7 +124,7 @@
             .map(|class| class.token_interval_objective.as_secs_f64())
             .fold(f64::INFINITY, f64::min);
         let admission = AdmissionControl::new(&settings, now);
-        let initial = initial_prefill_model(
+        let initial = LinearModel::before_measurement(
             &settings,
             shortest_token_interval,
             admission.shortest_objective(),
@@ -143,6 +142,7 @@
             list_poll_timer,
             maturity: MaturityIndex::default(),
             requests: FxHashMap::default(),
+            attempts_in_flight: 0,
             queue: RequestQueue::new(classes),
             dispatched_replicas: Vec::new(),
             admission,
@@ -220,27 +220,3 @@
         }
     }
 }
-
-/// The prefill model before any measurement. Classes extend their first-token objectives by the
-/// expected prefill time, so the largest extension per token is a first estimate of its cost. The
-/// base time is that of a decode step.
-fn initial_prefill_model(
-    settings: &Settings,
-    shortest_token_interval: f64,
-    objective: f64,
-) -> LinearModel {
-    let objective_per_1000 = settings
-        .classes
-        .iter()
-        .map(|class| {
-            class
-                .first_token_objective_per_1000_prompt_tokens
-                .as_secs_f64()
-        })
-        .fold(0.0, f64::max);
-    let base_seconds = shortest_token_interval.min(objective * INITIAL_STEP_FRACTION);
-    LinearModel {
-        seconds_per_token: objective_per_1000.max(base_seconds / 8.0) / 1000.0,
-        base_seconds,
-    }
-}
--- a/src/policy/estimators/prefill_model.rs
+++ b/src/policy/estimators/prefill_model.rs
@@ -2,6 +2,11 @@
 //! whose weights decay. A fit covers one series of samples; `fleet_prefill_models` pools the
 //! samples of several replicas.
 
+use crate::interface::Settings;
+
+/// The decode step that is assumed at the start if no token interval objective is shorter, as a
+/// fraction of the shortest first-token objective. A step must be much shorter than the objective.
+const INITIAL_STEP_FRACTION: f64 = 1.0 / 8.0;
 /// Number of samples that a prior model counts as, in addition to the recorded samples. It is small
 /// so that a replica's own samples prevail after a few of them.
 pub const PRIOR_SAMPLES: f64 = 4.0;
@@ -27,6 +32,32 @@
 }
 
 impl LinearModel {
+    /// The model before any measurement. Classes extend their first-token objectives by the
+    /// expected prefill time, so the largest extension per token is a first estimate of its cost.
+    /// The base time is that of a decode step. `shortest_objective` is the shortest first-token
+    /// objective; both times are in seconds.
+    pub fn before_measurement(
+        settings: &Settings,
+        shortest_token_interval: f64,
+        shortest_objective: f64,
+    ) -> LinearModel {
+        let objective_per_1000 = settings
+            .classes
+            .iter()
+            .map(|class| {
+                class
+                    .first_token_objective_per_1000_prompt_tokens
+                    .as_secs_f64()
+            })
+            .fold(0.0, f64::max);
+        let longest_step = shortest_objective * INITIAL_STEP_FRACTION;
+        let base_seconds = shortest_token_interval.min(longest_step);
+        LinearModel {
+            seconds_per_token: objective_per_1000.max(base_seconds / 8.0) / 1000.0,
+            base_seconds,
+        }
+    }
+
     /// The predicted seconds for a number of tokens.
     pub fn seconds(self, tokens: f64) -> f64 {
         self.seconds_per_token * tokens + self.base_seconds
--- a/src/policy/maturity_index.rs
+++ b/src/policy/maturity_index.rs
@@ -27,6 +27,11 @@
         &self.mature
     }
 
+    /// The number of replicas in service.
+    pub(super) fn in_service(&self) -> usize {
+        self.mature.len() + self.maturing.len()
+    }
+
     /// Whether any replica is mature.
     pub(super) fn any_mature(&self) -> bool {
         !self.mature.is_empty()
