Failing tests: misses cost a router of few requests more than a busy one

The miss rate covers 32 outcomes: 30 ms at 1,000 requests a second, 11 s at 3. 9 misses at 3 a second cost 18.7 refusals (two a miss allowed); 0.1 of the requests missed admits 0.79 there and 1.00 at 1,000 (0.1 less allowed).

--- a/src/policy/admission/tests.rs
+++ b/src/policy/admission/tests.rs
@@ -1,5 +1,7 @@
 //! Tests which fraction of the arrivals admission control admits, and which requests it rejects.
 
+mod rates;
+
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
