The miss rate covers a span of time, not a count of outcomes

Cause: the miss rate was a mean over 32 outcomes, a rule about time: at 2 outcomes a second old misses made each new one count for 16 s, and shedding made outcomes rarer still. Change: decaying sums over the 16 objectives in which the fraction grows back, with 16 outcomes in time added, so that few outcomes are weak evidence.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -6,8 +6,10 @@
 //! value to cost (`sampling`). The fraction decreases when first tokens miss their objective, and
 //! grows back over time.
 
+mod miss_rate;
 mod sampling;
 
+use miss_rate::MissRate;
 use rustc_hash::FxHashMap;
 use sampling::AdmissionSampler;
 
@@ -18,7 +20,8 @@
 /// fraction proportionally less, so that single misses of one faulty replica don't cause a third of
 /// the arrivals to be rejected.
 const OVERLOAD_MISS_RATE: f64 = 0.5;
-/// Weight of a new outcome in the running means, which cover about the last 32 outcomes.
+/// Weight of a new outcome in the running mean of the time between outcomes, which covers about the
+/// last 32 outcomes.
 const OUTCOME_SAMPLE_WEIGHT: f64 = 1.0 / 32.0;
 /// The admitted fraction does not fall below the fraction of requests that are in time, raised to
 /// this power: misses that continue despite shedding are caused by faults.
@@ -56,8 +59,8 @@
     shortest_objective: f64,
     /// The running mean of the time between outcomes, in multiples of the shortest objective.
     outcome_spacing: f64,
-    /// The running mean of missed first tokens, each counted by its miss weight, from 0 to 1.
-    miss_rate: f64,
+    /// The recent rate of missed first tokens, each counted by its miss weight.
+    miss_rate: MissRate,
     last_outcome: Timestamp,
     last_growth: Timestamp,
     sampler: AdmissionSampler,
@@ -153,8 +156,8 @@
     pub(super) fn highest_miss_rate(&self) -> f64 {
         self.by_model
             .values()
-            .map(|control| control.miss_rate)
-            .fold(self.miss_rate, f64::max)
+            .map(|control| control.miss_rate.rate())
+            .fold(self.miss_rate.rate(), f64::max)
     }
 
     /// Returns the fraction of arrivals that is admitted now.
@@ -208,11 +211,12 @@
             objectives.min(1.0),
             OUTCOME_SAMPLE_WEIGHT,
         );
-        running_mean::update(&mut self.miss_rate, miss_weight, OUTCOME_SAMPLE_WEIGHT);
+        self.miss_rate.record(miss_weight, objectives);
         if miss_weight > 0.0 {
-            let overload = (self.miss_rate / OVERLOAD_MISS_RATE).min(1.0);
+            let miss_rate = self.miss_rate.rate();
+            let overload = (miss_rate / OVERLOAD_MISS_RATE).min(1.0);
             let cut = miss_weight * 2.0 * self.outcome_spacing * overload;
-            let min_fraction = (1.0 - self.miss_rate)
+            let min_fraction = (1.0 - miss_rate)
                 .powi(MIN_IN_TIME_EXPONENT)
                 .max(MIN_ADMITTED_FRACTION)
                 .min(self.admitted_fraction);
