Replicas with room count as free, not only idle ones, when requests would be refused

Cause: servers run dozens of requests at once; one with a few in flight has room and is not idle. Change: each available replica counts with the probability that it runs fewer than six requests: this router's own in flight plus a Poisson number with the mean that the others have. Ruled out: weighing misses by the fleet's attempts in flight: no difference over the noise.

--- a/src/policy/availability.rs
+++ b/src/policy/availability.rs
@@ -1,41 +1,47 @@
-//! How many replicas could take a request at the time of a decision, and which part of the idle
-//! ones this router may use while admission control sheds.
+//! How many replicas could take a request at the time of a decision, and with which
+//! probability this router may use their room while admission control sheds.
 
 use super::balancer::Balancer;
 use super::replica_table::ReplicaIndex;
 use crate::interface::RequestId;
 
-/// Maximum number of replicas examined. It bounds the work, and in a large fleet also the part of
-/// the idle replicas that is used: a replica that is idle for one of many routers may be busy.
+/// Maximum number of replicas examined. It bounds the work, and in a large fleet also the room that
+/// is used: one of many routers knows little of what the others send.
 const MAX_EXAMINED_REPLICAS: usize = 32;
-/// Number of requests that any replica runs at the same time without delaying them much.
-const MIN_BATCH_SIZE: u32 = 4;
+/// Number of requests that every replica is assumed to be able to run at the same time.
+const ASSUMED_SLOTS: u32 = 6;
+/// Number of requests that all routers together may send at the same time to a replica with room.
+const REQUESTS_PER_REPLICA: f64 = 4.0;
 
 impl Balancer {
     /// Returns how many replicas could take a request now and answer it in time, as far as this
     /// router knows.
     pub(super) fn available_replicas(&self, id: RequestId) -> u32 {
-        self.count_examined(|replica| self.is_available(id, replica))
+        let examined = self.maturity.mature().iter().take(MAX_EXAMINED_REPLICAS);
+        examined
+            .filter(|&&replica| self.is_available(id, replica))
+            .count() as u32
     }
 
-    /// Returns the probability, from 0 to 1, with which this router may send a request to an idle
-    /// replica although admission control would shed it. All routers may see the same idle replicas,
-    /// so the requests that these can take are divided by the number of routers. The more attempts
-    /// this router has in flight, the less likely a replica that it does not use is idle.
-    pub(super) fn idle_share(&self, id: RequestId) -> f64 {
-        let is_idle =
-            |replica| self.replicas[replica].in_flight == 0 && self.is_available(id, replica);
-        let idle = f64::from(self.count_examined(is_idle));
+    /// Returns the probability, from 0 to 1, with which this router may send a request to a replica
+    /// with room although admission control would refuse it. All routers may see the same room, so
+    /// the requests that fit there are divided by the number of routers.
+    pub(super) fn share_of_room(&self, id: RequestId) -> f64 {
+        let examined = self.maturity.mature().iter().take(MAX_EXAMINED_REPLICAS);
+        let available = examined.filter(|&&replica| self.is_available(id, replica));
+        let with_room: f64 = available.map(|&replica| self.has_room(replica)).sum();
         let routers = f64::from(self.settings.router_count.max(1));
-        let in_service = self.maturity.in_service().max(1) as f64;
-        let used_by_others = (routers - 1.0) * f64::from(self.attempts_in_flight) / in_service;
-        let has_room = poisson_below(MIN_BATCH_SIZE, used_by_others);
-        (idle * f64::from(MIN_BATCH_SIZE) * has_room / routers).min(1.0)
+        (with_room * REQUESTS_PER_REPLICA / routers).min(1.0)
     }
 
-    fn count_examined(&self, condition: impl Fn(ReplicaIndex) -> bool) -> u32 {
-        let examined = self.maturity.mature().iter().take(MAX_EXAMINED_REPLICAS);
-        examined.filter(|&&replica| condition(replica)).count() as u32
+    /// Returns the probability that a replica has a free slot. The other routers are assumed to
+    /// have the same mean number of attempts in flight at each replica as this router.
+    fn has_room(&self, replica: ReplicaIndex) -> f64 {
+        let other_routers = f64::from(self.settings.router_count.max(1) - 1);
+        let in_service = self.maturity.in_service().max(1) as f64;
+        let used_by_others = other_routers * f64::from(self.attempts_in_flight) / in_service;
+        let free_here = ASSUMED_SLOTS.saturating_sub(self.replicas[replica].in_flight);
+        poisson_below(free_here, used_by_others)
     }
 
     /// Returns whether a request may be sent to a mature replica now, and its first token is
--- a/tests/sparse_traffic/main.rs
+++ b/tests/sparse_traffic/main.rs
@@ -30,6 +30,11 @@
     assert_no_refusal_beside_idle_replica(UnservedReason::Shed);
 }
 
+#[test]
+fn requests_do_not_expire_in_queue_beside_idle_replicas() {
+    assert_no_refusal_beside_idle_replica(UnservedReason::NoTimeLeft);
+}
+
 #[test]
 fn migrations_to_idle_replicas_are_not_refused() {
     assert_no_refusal_beside_idle_replica(UnservedReason::ExpensiveMigration);
