Backoffs are short while more than half of the replicas are in one

Cause: each fault doubles a replica's backoff, up to 16 first-token times (6 s). What was sent to the few that were left came late, so they failed too and got a backoff each. A failure rate that changes by the decision that it steers. Seen by a probe of all replicas at each refusal: 7 of 9 with no attempt in flight, matured in 0.6 to 6.2 s, while at most three servers were faulty. Change: while more than half of the replicas in service are in a backoff, none is longer than one first-token time, as an outlier detection's maximum ejection does. Ruled out by the probe: a maturity that waits for slow decode steps (step 0.040 s of 0.080 allowed). Test: backoffs_of_most_replicas_are_short (6 replicas unavailable before, 0 now).

--- a/src/policy/maturity.rs
+++ b/src/policy/maturity.rs
@@ -9,6 +9,9 @@
 /// Maximum number of consecutive faults that double the backoff. A repaired replica is used again
 /// after at most 16 times the first-token time of a typical request, a few seconds.
 const MAX_DOUBLINGS: u32 = 4;
+/// Maximum fraction of the replicas in service that may be in a long backoff at the same time. If
+/// more fail, they are more likely overloaded than faulty.
+const MAX_EJECTED_FRACTION: f64 = 0.5;
 
 impl Balancer {
     /// Whether a replica takes requests now.
@@ -37,5 +40,32 @@
         let backoff = base_backoff * f64::from(1 << replica.consecutive_failures);
         let at = (self.now + Span::from_secs_f64(backoff)).max(replica.maturity);
         self.set_maturity(index, at);
+        self.shorten_backoffs(Span::from_secs_f64(base_backoff));
+    }
+
+    /// Limits the backoff of each failing replica to `longest` if more than
+    /// [`MAX_EJECTED_FRACTION`] of the replicas in service are in a backoff. The others would
+    /// otherwise get all requests, fail under the load and start a backoff too.
+    fn shorten_backoffs(&mut self, longest: Span) {
+        let ejected: Vec<ReplicaIndex> = self
+            .replicas
+            .indices()
+            .filter(|&index| self.is_in_backoff(index))
+            .collect();
+        let limit = MAX_EJECTED_FRACTION * self.maturity.in_service() as f64;
+        if ejected.len() as f64 <= limit {
+            return;
+        }
+        let latest = self.now + longest;
+        for index in ejected {
+            if self.replicas[index].maturity > latest {
+                self.set_maturity(index, latest);
+            }
+        }
+    }
+
+    fn is_in_backoff(&self, index: ReplicaIndex) -> bool {
+        let replica = &self.replicas[index];
+        replica.is_in_service() && replica.consecutive_failures > 0 && replica.maturity > self.now
     }
 }
--- a/tests/balancer/replicas.rs
+++ b/tests/balancer/replicas.rs
@@ -129,3 +129,28 @@
         router.balancer.tracked_replicas()
     );
 }
+
+/// Guards against long backoffs of most replicas at the same time: after a trouble at all of them,
+/// none took requests for 16 first-token times.
+#[test]
+fn backoffs_of_most_replicas_are_short() {
+    let mut router = TestRouter::new(settings(), 6);
+    for id in 0..30 {
+        let sent = sends(&router.submit(100_000, arrival(id)));
+        assert_eq!(sent.len(), 1);
+        router.step(400_000, vec![first_token(id, 0, 400_000)]);
+        router.step(10_000, vec![attempt_ended(id, 0, Outcome::Completed, true)]);
+    }
+    let failed_checks = (0..24).map(|number| {
+        Event::HealthCheckEnded(HealthCheckEnded {
+            replica: ReplicaId(number % 6),
+            outcome: Outcome::ConnectFailed,
+            elapsed: Span::from_millis(1),
+            load_report: None,
+        })
+    });
+    router.step(10_000, failed_checks.collect());
+    assert_eq!(router.balancer.unavailable_replicas(), 6);
+    router.step(1_000_000, vec![Event::TimerFired { timer_id: 0 }]);
+    assert_eq!(router.balancer.unavailable_replicas(), 0);
+}
--- a/tests/session_rejections/cluster.rs
+++ b/tests/session_rejections/cluster.rs
@@ -35,12 +35,18 @@
 /// Time between two output tokens of a model server.
 const TOKEN_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Numbers of requests that were not served.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RefusalCount {
+    refused: usize,
+    beside_available: usize,
+}
+
 /// The result of a run.
 pub struct SeedRun {
     pub sessions: Vec<Session>,
-    /// Number of requests that were not served, by reason. Only requests that the routers logged
-    /// are counted.
-    pub reasons: BTreeMap<String, usize>,
+    /// Numbers of requests that were not served, by class and reason, as the routers logged them.
+    pub refusals: BTreeMap<String, RefusalCount>,
 }
 
 /// Runs a seed with router processes of this program.
@@ -87,7 +93,7 @@
     let logs = faults.processes.iter().map(RouterProcess::log);
     Ok(SeedRun {
         sessions: sessions.into_iter().flatten().collect(),
-        reasons: count_reasons(logs),
+        refusals: count_refusals(logs),
     })
 }
 
@@ -131,18 +137,24 @@
     settings["specifics"]["token-aim"] = json!([0.08, 0.08]);
 }
 
-/// Counts the reasons in the routers' logs. A router logs at most one line per second about
-/// requests that are not served.
-fn count_reasons(logs: impl Iterator<Item = String>) -> BTreeMap<String, usize> {
-    let mut reasons = BTreeMap::new();
+/// Counts the refusals in the routers' logs, which name for each class and reason how many there
+/// were, and how many of them beside an available server.
+fn count_refusals(logs: impl Iterator<Item = String>) -> BTreeMap<String, RefusalCount> {
+    let mut counts: BTreeMap<String, RefusalCount> = BTreeMap::new();
     for log in logs {
-        for line in log
-            .lines()
-            .filter(|line| line.contains("ms after it was read"))
-        {
-            let reason = line.split(['(', ')']).nth(1).unwrap_or_default();
-            *reasons.entry(reason.into()).or_default() += 1;
+        let summaries = log.lines().filter_map(|line| {
+            let (_, summary) = line.split_once("requests not served: ")?;
+            summary.split_once(';')
+        });
+        for refusal in summaries.flat_map(|(summary, _)| summary.split(", ")) {
+            let words: Vec<&str> = refusal.split([' ', '(']).collect();
+            let [class, reason, refused, _, beside_available, ..] = words[..] else {
+                continue;
+            };
+            let count = counts.entry(format!("{class} {reason}")).or_default();
+            count.refused += refused.parse().unwrap_or(0);
+            count.beside_available += beside_available.parse().unwrap_or(0);
         }
     }
-    reasons
+    counts
 }
