--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -53,6 +53,14 @@
 #[case::empty(Some("\n"), false)]
 #[case::one_missing(Some("a::red: a cause (40)\n"), false)]
 #[case::a_listed_one_passes(Some("a::red: x (40)\nb::red: x (40)\na::good: x (40)\n"), false)]
+#[case::an_intermittent_one_passes(
+    Some("a::red: a cause (40)\nb::red: x (40)\na::good: intermittent, x (40)\n"),
+    true
+)]
+#[case::an_intermittent_one_is_missing(
+    Some("a::red: a cause (40)\nb::red: x (40)\nc: intermittent, x (40)\n"),
+    false
+)]
 #[case::no_such_test(Some("a::red: x (40)\nb::red: x (40)\nc::red: x (40)\n"), false)]
 #[case::two_of_the_name(Some("a::red: x (40)\nb::red: x (40)\ntwice: x (40)\n"), false)]
 #[case::no_cause(Some("a::red\nb::red: x (40)\n"), false)]
