--- a/src/policy/availability.rs
+++ b/src/policy/availability.rs
@@ -1,27 +1,73 @@
-//! Counts the replicas that could take a request at the time of a decision.
+//! How many replicas could take a request at the time of a decision, and with which
+//! probability this router may use their room while admission control sheds.
 
 use super::balancer::Balancer;
 use super::replica_table::ReplicaIndex;
 use crate::interface::RequestId;
 
-/// Maximum number of replicas examined to count the available ones.
+/// Maximum number of replicas examined. It bounds the work, and in a large fleet also the room that
+/// is used: one of many routers knows little of what the others send.
 const MAX_EXAMINED_REPLICAS: usize = 32;
+/// Number of requests that every replica is assumed to be able to run at the same time.
+const ASSUMED_SLOTS: u32 = 6;
+/// Number of requests that all routers together may send at the same time to a replica with room.
+const REQUESTS_PER_REPLICA: f64 = 4.0;
 
 impl Balancer {
     /// Returns how many replicas could take a request now and answer it in time, as far as this
-    /// router knows. At most [`MAX_EXAMINED_REPLICAS`] are examined.
+    /// router knows.
     pub(super) fn available_replicas(&self, id: RequestId) -> u32 {
+        let examined = self.maturity.mature().iter().take(MAX_EXAMINED_REPLICAS);
+        examined
+            .filter(|&&replica| self.is_available(id, replica))
+            .count() as u32
+    }
+
+    /// Returns the probability, from 0 to 1, with which this router may send a request to a replica
+    /// with room although admission control would refuse it. All routers may see the same room, so
+    /// the requests that fit there are divided by the number of routers.
+    pub(super) fn share_of_room(&self, id: RequestId) -> f64 {
+        let examined = self.maturity.mature().iter().take(MAX_EXAMINED_REPLICAS);
+        let available = examined.filter(|&&replica| self.is_available(id, replica));
+        let with_room: f64 = available.map(|&replica| self.has_room(replica)).sum();
+        let routers = f64::from(self.settings.router_count.max(1));
+        (with_room * REQUESTS_PER_REPLICA / routers).min(1.0)
+    }
+
+    /// Returns the probability that a replica has a free slot. The other routers are assumed to
+    /// have the same mean number of attempts in flight at each replica as this router.
+    fn has_room(&self, replica: ReplicaIndex) -> f64 {
+        let other_routers = f64::from(self.settings.router_count.max(1) - 1);
+        let in_service = self.maturity.in_service().max(1) as f64;
+        let used_by_others = other_routers * f64::from(self.attempts_in_flight) / in_service;
+        let free_here = ASSUMED_SLOTS.saturating_sub(self.replicas[replica].in_flight);
+        poisson_below(free_here, used_by_others)
+    }
+
+    /// Returns whether a request may be sent to a mature replica now, and its first token is
+    /// predicted in time.
+    fn is_available(&self, id: RequestId, replica: ReplicaIndex) -> bool {
         let Some(request) = self.requests.get(&id) else {
-            return 0;
+            return false;
         };
         let arrival = &request.arrival;
         let remaining = (request.due - self.now).as_secs_f64();
-        let is_available = |replica: &&ReplicaIndex| {
-            self.is_eligible(**replica, arrival)
-                && self.cost(arrival, **replica, remaining).is_some()
-                && self.may_send(id, **replica)
-        };
-        let examined = self.maturity.mature().iter().take(MAX_EXAMINED_REPLICAS);
-        examined.filter(is_available).count() as u32
+        self.is_eligible(replica, arrival)
+            && self.cost(arrival, replica, remaining).is_some()
+            && self.may_send(id, replica)
     }
 }
+
+/// Returns the probability that a Poisson distributed number with this mean is less than `limit`.
+fn poisson_below(limit: u32, mean: f64) -> f64 {
+    let mut probability = (-mean).exp();
+    let mut sum = 0.0;
+    for number in 0..limit {
+        sum += probability;
+        probability *= mean / f64::from(number + 1);
+    }
+    sum
+}
+
+#[cfg(test)]
+mod tests;
