--- a/src/policy/admission/miss_rate.rs
+++ b/src/policy/admission/miss_rate.rs
@@ -29,3 +29,6 @@
         self.missed / (self.outcomes + PRIOR_OUTCOMES)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/policy/admission/tests/rates.rs
+++ b/src/policy/admission/miss_rate/tests.rs
@@ -1,8 +1,11 @@
 //! Tests that the admitted fraction does not depend on the rate of requests: the same misses have
 //! about the same effect at one request per second as at a thousand.
 
-use super::*;
-use crate::interface::Span;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::super::AdmissionControl;
+use crate::interface::{Class, Settings, Span, Timestamp};
 
 /// A shortest objective of 0.7 s, as deployments with sparse traffic have it.
 fn sparse_control() -> AdmissionControl {
--- a/src/policy/admission/tests.rs
+++ b/src/policy/admission/tests.rs
@@ -1,7 +1,5 @@
 //! Tests which fraction of the arrivals admission control admits, and which requests it rejects.
 
-mod rates;
-
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
