Fault tests measure an attempt's start when its bytes reach the server's system

The system's record of the connection (TCP_INFO) shows the requests at the server 216 to 336 ms before the server's thread read them, within 18 ms of the time at which the client had sent them.

Ruled out: dropped segments (no time-outs, no drops in the system's counters).

Change: an attempt has two times, its arrival at the server's system and its read by the server's thread. The forwarded timeout and the start after an end or a disconnection are checked at the arrival, which is what these rules are about. The bounds are unchanged. Overlapping attempts, and which delivery an attempt belongs to, are still checked at the read.

--- a/tests/faults/check.rs
+++ b/tests/faults/check.rs
@@ -206,8 +206,8 @@
         let Some(delivery) = delivery else {
             return Some(Rule::UnknownRequest);
         };
-        let too_late = attempt.began > delivery.ended + END_TOLERANCE + RECORDING_DELAY;
-        let remaining = (delivery.sent + delivery.timeout).saturating_sub(attempt.began);
+        let too_late = attempt.arrived > delivery.ended + END_TOLERANCE + RECORDING_DELAY;
+        let remaining = (delivery.sent + delivery.timeout).saturating_sub(attempt.arrived);
         match delivery.end {
             DeliveryEnd::Disconnected if too_late => Some(Rule::AttemptAfterDisconnect),
             _ if too_late => Some(Rule::AttemptAfterEnd),
--- a/tests/faults/check_tests.rs
+++ b/tests/faults/check_tests.rs
@@ -35,6 +35,7 @@
     let forwarded_timeout = ms(2000_u64.saturating_sub(began));
     Attempt {
         id: "a".into(),
+        arrived: ms(began),
         began: ms(began),
         forwarded_timeout,
         ended: ms(ended),
@@ -128,6 +129,20 @@
     }
 }
 
+#[test]
+fn late_read_at_model_server_is_no_violation() {
+    let late_read = Attempt {
+        arrived: ms(1010),
+        forwarded_timeout: ms(990),
+        ..attempt(1310, 1320)
+    };
+    let record = Record {
+        attempts: vec![late_read],
+        ..valid_record()
+    };
+    assert_eq!(rules(&record), []);
+}
+
 #[rstest]
 #[case::four_attempts(vec![attempt(1010, 1020), attempt(1030, 1040), attempt(1050, 1060), attempt(1070, 1080)], Rule::TooManyAttempts)]
 #[case::overlapping(vec![attempt(1010, 1090), attempt(1030, 1080)], Rule::OverlappingAttempts)]
--- a/tests/faults/http.rs
+++ b/tests/faults/http.rs
@@ -66,7 +66,9 @@
     pub head: Head,
     pub body: Vec<u8>,
     pub complete: bool,
-    /// Instant at which the first bytes arrived.
+    /// Instant at which the operating system had received the bytes that were read first.
+    pub arrived: Instant,
+    /// Instant at which the first bytes were read.
     pub began: Instant,
 }
 
@@ -114,6 +116,8 @@
             }
         }
         let began = Instant::now();
+        let unread_time = tcp_info::time_since_last_data(&self.stream).unwrap_or_default();
+        let arrived = began.checked_sub(unread_time).unwrap_or(began);
         let end = loop {
             if let Some(at) = self
                 .unparsed
@@ -141,6 +145,7 @@
             head,
             body,
             complete,
+            arrived,
             began,
         })
     }
--- a/tests/faults/record.rs
+++ b/tests/faults/record.rs
@@ -56,7 +56,9 @@
 #[derive(Clone, Debug)]
 pub struct Attempt {
     pub id: String,
-    /// Time at which the first bytes arrived.
+    /// Time at which the operating system of the server had received the request.
+    pub arrived: Duration,
+    /// Time at which the server read the first bytes.
     pub began: Duration,
     /// The timeout that the router forwarded to the server.
     pub forwarded_timeout: Duration,
--- a/tests/faults/servers.rs
+++ b/tests/faults/servers.rs
@@ -135,6 +135,7 @@
         .unwrap_or_default();
     let attempt = recorder.record_attempt_start(Attempt {
         id: id.clone(),
+        arrived: recorder.since_start(request.arrived),
         began: recorder.since_start(request.began),
         forwarded_timeout: Duration::from_millis(forwarded_timeout),
         ended: Duration::MAX,
