A series of stalls counts as one stall for the arrival of requests

Callers saw: after a series of SIGSTOP and SIGCONT a model server was given up to 0.6 s more than its client had left, and the answer came late.

Cause: the heartbeat kept only the last stall. A request that had arrived during the first of two stalls, and that the few milliseconds between them did not suffice to read, dated from the start of the second.

--- a/src/net/listener/heartbeat.rs
+++ b/src/net/listener/heartbeat.rs
@@ -38,13 +38,20 @@
     /// The stall that ends now, or that ended less than [`STALL_AFTERMATH`] ago.
     fn stall_at(&self, now: Instant) -> Option<Stall> {
         if now.saturating_duration_since(self.last_beat) >= STALL_THRESHOLD {
+            // bytes that arrived during a previous stall may still be unread
+            let previous = self.recent_stall(self.last_beat);
             return Some(Stall {
-                started_at: self.last_beat,
+                started_at: previous.map_or(self.last_beat, |stall| stall.started_at),
                 ended_at: now,
             });
         }
+        self.recent_stall(now)
+    }
+
+    /// The last stall, if it ended less than [`STALL_AFTERMATH`] before `at`.
+    fn recent_stall(&self, at: Instant) -> Option<Stall> {
         self.last_stall
-            .filter(|stall| now.saturating_duration_since(stall.ended_at) < STALL_AFTERMATH)
+            .filter(|stall| at.saturating_duration_since(stall.ended_at) < STALL_AFTERMATH)
     }
 }
 
