A request that is read late on a busy machine dates from its arrival

Callers saw: beside crowds, or on a busy machine, a model server was given up to 0.6 s more than its client had left.

Cause: the system's record of a connection's last data only narrowed the time that the heartbeat gave. Where the process ran, but too late for this connection, the heartbeat shows no stall, and the request dated from its read.

Why this works: no byte that has been read arrived after the connection's last data, so a request never dates from a later time than that, also if it is large or pipelined.

--- a/src/net/listener/arrival.rs
+++ b/src/net/listener/arrival.rs
@@ -18,15 +18,23 @@
         let earliest = self
             .unread_since
             .map_or(earliest, |since| since.min(earliest));
-        let received_at = self
+        let earliest = self
             .last_arrival(now)
             .map_or(earliest, |at| at.max(earliest));
+        let received_at = earliest.min(self.last_data_at(now));
         self.unread_since = Some(received_at);
         let unread = now.saturating_duration_since(received_at).as_secs_f64();
         self.context.metrics.clients().record_unread(unread);
         received_at
     }
 
+    /// The instant at which the connection last received data. No byte that has been read arrived
+    /// later, even if this process ran too late for the heartbeat to show that it had to wait.
+    fn last_data_at(&self, now: Instant) -> Instant {
+        let age = self.socket.time_since_last_data();
+        age.and_then(|age| now.checked_sub(age)).unwrap_or(now)
+    }
+
     /// The earliest instant at which the request's last byte may have arrived, according to the
     /// system's record of the last data on the connection. `None` if that record may concern other
     /// bytes: there are bytes after the request, or the request is so large that its end may have
@@ -75,3 +83,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/listener/tests.rs
+++ b/src/net/listener/tests.rs
@@ -59,7 +59,7 @@
     }
 }
 
-fn context(shutting_down: watch::Receiver<bool>) -> ListenerContext {
+pub(super) fn context(shutting_down: watch::Receiver<bool>) -> ListenerContext {
     ListenerContext {
         read_schedule: Arc::new(ReadSchedule::new(Instant::now())),
         connection_limit: ConnectionLimit::new(8),
