--- a/tests/sparse_traffic/main.rs
+++ b/tests/sparse_traffic/main.rs
@@ -2,6 +2,7 @@
 //! misses of a short outage must not make it refuse requests that an idle replica could answer.
 //! Three balancers share nine simulated replicas, of which three hang for three seconds.
 
+mod attempts;
 #[path = "../common/mod.rs"]
 mod common;
 mod replicas;
--- a/tests/sparse_traffic/simulation.rs
+++ b/tests/sparse_traffic/simulation.rs
@@ -7,7 +7,7 @@
 use stilespan::interface::*;
 
 use super::common::*;
-use super::replicas::{AttemptPlan, REPLICAS, Replicas};
+use super::replicas::{REPLICAS, Replicas};
 
 const ROUTERS: u32 = 3;
 /// Number of sessions, which together send about 14 turns per second.
@@ -41,16 +41,16 @@
 
 /// An attempt in flight.
 #[derive(Clone, Copy, Debug)]
-struct InFlightAttempt {
-    replica: u64,
-    number: u32,
+pub(super) struct InFlightAttempt {
+    pub(super) replica: u64,
+    pub(super) number: u32,
 }
 
 #[derive(Debug)]
-struct Turn {
-    arrival: Arrival,
-    attempts: u32,
-    in_flight: Option<InFlightAttempt>,
+pub(super) struct Turn {
+    pub(super) arrival: Arrival,
+    pub(super) attempts: u32,
+    pub(super) in_flight: Option<InFlightAttempt>,
 }
 
 #[derive(Debug)]
@@ -62,11 +62,11 @@
 /// The routers, replicas and sessions of one seed.
 pub struct Simulation {
     rng: StdRng,
-    now: Timestamp,
+    pub(super) now: Timestamp,
     routers: Vec<TestRouter>,
-    replicas: Replicas,
+    pub(super) replicas: Replicas,
     sessions: Vec<Session>,
-    turns: HashMap<u32, Turn>,
+    pub(super) turns: HashMap<u32, Turn>,
     due: Vec<DueEvent>,
     last_request: u32,
     refusals: Vec<Refusal>,
@@ -165,7 +165,7 @@
         }
     }
 
-    fn schedule(&mut self, router: usize, at: Timestamp, event: Event) {
+    pub(super) fn schedule(&mut self, router: usize, at: Timestamp, event: Event) {
         self.due.push(DueEvent { at, router, event });
     }
 
@@ -235,60 +235,4 @@
             _ => {}
         }
     }
-
-    fn start_attempt(&mut self, router: usize, id: u32, replica: u64, timeout: Option<Span>) {
-        let Some(turn) = self.turns.get_mut(&id) else {
-            return;
-        };
-        let arrival = turn.arrival;
-        let number = turn.attempts;
-        turn.attempts += 1;
-        turn.in_flight = Some(InFlightAttempt { replica, number });
-        let plan = self.replicas.start(replica, &arrival, self.now);
-        let gives_up_at = timeout.map_or(arrival.expires_at, |timeout| self.now + timeout);
-        let mut end = AttemptEnded {
-            request: RequestId(id),
-            attempt: number,
-            outcome: Outcome::Timeout,
-            elapsed: gives_up_at - self.now,
-            cached_tokens: None,
-            request_complete: false,
-            load_report: None,
-        };
-        let mut end_at = gives_up_at;
-        if let AttemptPlan::Answers {
-            first_token: first_token_at,
-            end: answer_ends_at,
-            cached_tokens,
-        } = plan
-            && first_token_at <= gives_up_at
-        {
-            let elapsed = first_token_at - self.now;
-            let event = first_token(id, number, elapsed.as_micros());
-            self.schedule(router, first_token_at, event);
-            end_at = answer_ends_at;
-            end.elapsed = answer_ends_at - self.now;
-            end.cached_tokens = Some(cached_tokens);
-            end.outcome = Outcome::Completed;
-            end.request_complete = true;
-        }
-        self.schedule(router, end_at, Event::AttemptEnded(end));
-    }
-
-    /// Answers a health check with the next step; a replica that hangs fails it after 400 ms.
-    fn answer_health_check(&mut self, router: usize, replica: ReplicaId) {
-        let hangs = self.replicas.hangs(replica.0, self.now);
-        let (outcome, elapsed) = if hangs {
-            (Outcome::Timeout, Span::from_millis(400))
-        } else {
-            (Outcome::Completed, Span::from_millis(1))
-        };
-        let end = HealthCheckEnded {
-            replica,
-            outcome,
-            elapsed,
-            load_report: None,
-        };
-        self.schedule(router, self.now + elapsed, Event::HealthCheckEnded(end));
-    }
 }
