A session stays where its prompt is cached after an attempt that got no first token

Callers saw: the turns of a session failed one after the other while other sessions were served. Its prompt counted as cached at a server that had not prefilled it, so the next turn was predicted to take a few milliseconds there, was sent there again, and ended with the objective.

Cause: a session's last turn is recorded when an attempt is sent, and was taken back only if the attempt never ran, not if it failed before its first token.

Why this works: after such a failure the last turn is again the last one that was answered, as after a rejected attempt.

Evidence: three of the four cases of unanswered_attempt_does_not_move_session failed before.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -83,8 +83,8 @@
         }
     }
 
-    /// Restores the session's last turn before an attempt that never ran. The attempt's replica
-    /// does not have the prompt cached.
+    /// Restores the session's last turn before an attempt that never ran, or that failed before its
+    /// first token. The attempt's replica does not have the prompt cached.
     fn restore_previous_turn(&mut self, arrival: &Arrival, attempt: &Attempt) {
         let Some(session) = arrival.session else {
             return;
@@ -185,7 +185,9 @@
         replica.in_flight_by_class[arrival.class as usize] -= 1;
         replica.in_flight -= 1;
         self.attempts_in_flight -= 1;
-        if end.outcome.never_ran() {
+        let failed_unanswered =
+            end.outcome.is_fault() && ended.phase == AttemptPhase::AwaitingFirstToken;
+        if end.outcome.never_ran() || failed_unanswered {
             self.restore_previous_turn(&arrival, &ended);
         }
         if end.outcome == Outcome::Completed {
--- a/tests/session_affinity.rs
+++ b/tests/session_affinity.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 
 use common::*;
+use rstest::rstest;
 use stilespan::interface::*;
 
 /// Tokens of the prefix that all sessions share.
@@ -192,28 +193,37 @@
     assert_ne!(fleet.submit_until_sent(1, 15_000), replica);
 }
 
-/// Guards against moving a session to a full replica that rejected its turn: the rejected turn did
-/// not run, so the next turn is sent to the replica that has the last turn that ran cached.
-#[test]
-fn rejected_attempt_does_not_move_session() {
+/// Guards against moving a session to a replica that did not begin to answer its turn: that replica
+/// does not have the prompt cached, so the next turn is sent to the replica that has the last
+/// answered turn cached.
+#[rstest]
+#[case::rejected(Outcome::Rejected)]
+#[case::timed_out(Outcome::Timeout)]
+#[case::failed(Outcome::Error)]
+#[case::reset(Outcome::ConnectionReset)]
+fn unanswered_attempt_does_not_move_session(#[case] outcome: Outcome) {
     let mut fleet = CachingFleet::new(4);
     let replica = fleet
         .warm_up(3)
         .expect("the last turn of the warm-up was not sent");
     // The first token of a turn at the session's replica is late, so the session's next turn is
-    // sent to another replica, which rejects it.
+    // sent to another replica, which does not answer it.
     assert_eq!(fleet.submit(1, 15_000), TurnOutcome::SentTo(replica));
     let late_request = fleet.last_request;
     fleet
         .router
         .step(500_000, vec![Event::TimerFired { timer_id: 0 }]);
     assert_ne!(fleet.submit_until_sent(1, 15_000), replica);
-    fleet.end(Outcome::Rejected, 1_000, None);
+    fleet.end(outcome, 1_000, None);
     let first = first_token(late_request, 0, 600_000);
     fleet.router.step(100_000, vec![first]);
     fleet.router.step(
         10_000,
         vec![attempt_ended(late_request, 0, Outcome::Completed, true)],
     );
+    // until the backoff of the other replica is over
+    fleet
+        .router
+        .step(5_000_000, vec![Event::TimerFired { timer_id: 0 }]);
     assert_eq!(fleet.submit(1, 15_300), TurnOutcome::SentTo(replica));
 }
