An attempt that fails late does not undo a session's later turn

Callers would see: a turn that hangs at one server ends after the session's next turn was answered by another one, and the turn after that is sent to the first server again, where its prompt is not cached.

Now a turn is only taken back if it is the last one recorded.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -84,11 +84,19 @@
     }
 
     /// Restores the session's last turn before an attempt that never ran, or that failed before its
-    /// first token. The attempt's replica does not have the prompt cached.
+    /// first token. The attempt's replica does not have the prompt cached. A turn that was sent
+    /// after the attempt stays the last one.
     fn restore_previous_turn(&mut self, arrival: &Arrival, attempt: &Attempt) {
         let Some(session) = arrival.session else {
             return;
         };
+        let recorded = LastTurn {
+            replica: self.replicas[attempt.replica].entry.replica,
+            prompt_tokens: arrival.prompt_tokens,
+        };
+        if self.last_turns.get(&session) != Some(recorded) {
+            return;
+        }
         match attempt.previous_turn {
             Some(previous) => self.last_turns.insert(session, previous),
             None => self.last_turns.remove(&session),
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -31,7 +31,7 @@
 const INITIAL_TYPICAL_TOKENS: f64 = 1000.0;
 
 /// The last turn of a session that this router sent to a replica.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct LastTurn {
     /// The replica that the turn was sent to.
     pub(super) replica: ReplicaId,
