--- a/src/net/listener/arrival.rs
+++ b/src/net/listener/arrival.rs
@@ -3,7 +3,7 @@
 //! Bytes may wait in the system before they are read, and the request's deadline counts from their
 //! arrival.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::ClientConnection;
 use super::time_limits::{ARRIVAL_MARGIN, MAX_BUFFERED_REQUEST_BYTES};
@@ -18,28 +18,24 @@
         let earliest = self
             .unread_since
             .map_or(earliest, |since| since.min(earliest));
-        let earliest = self
-            .last_arrival(now)
+        let last_data_age = self.socket.time_since_last_data();
+        let earliest = last_data_age
+            .and_then(|age| self.last_arrival(now, age))
             .map_or(earliest, |at| at.max(earliest));
-        let received_at = earliest.min(self.last_data_at(now));
+        // no byte that has been read arrived after the last data
+        let last_data_at = last_data_age.and_then(|age| now.checked_sub(age));
+        let received_at = last_data_at.map_or(earliest, |at| at.min(earliest));
         self.unread_since = Some(received_at);
         let unread = now.saturating_duration_since(received_at).as_secs_f64();
         self.context.metrics.clients().record_unread(unread);
         received_at
     }
 
-    /// The instant at which the connection last received data. No byte that has been read arrived
-    /// later, even if this process ran too late for the heartbeat to show that it had to wait.
-    fn last_data_at(&self, now: Instant) -> Instant {
-        let age = self.socket.time_since_last_data();
-        age.and_then(|age| now.checked_sub(age)).unwrap_or(now)
-    }
-
     /// The earliest instant at which the request's last byte may have arrived, according to the
     /// system's record of the last data on the connection. `None` if that record may concern other
     /// bytes: there are bytes after the request, or the request is so large that its end may have
     /// waited at the client until the router read the bytes before it.
-    fn last_arrival(&self, now: Instant) -> Option<Instant> {
+    fn last_arrival(&self, now: Instant, last_data_age: Duration) -> Option<Instant> {
         let is_small = self
             .incoming
             .as_ref()
@@ -47,13 +43,11 @@
         if !is_small {
             return None;
         }
-        let age = self.socket.time_since_last_data()?;
-        // the order of the calls matters: bytes that arrive after the first call are seen by the
-        // second
+        // bytes that arrived after the age was read are seen here
         if self.socket.state() != StreamState::Quiet {
             return None;
         }
-        now.checked_sub(age + ARRIVAL_MARGIN)
+        now.checked_sub(last_data_age + ARRIVAL_MARGIN)
     }
 
     /// Asks the system when the bytes on a new connection arrived. The accept queue alone shows
