--- a/src/net/listener/heartbeat/tests.rs
+++ b/src/net/listener/heartbeat/tests.rs
@@ -1,3 +1,5 @@
+use rstest::rstest;
+
 use super::*;
 
 const MILLISECOND: Duration = Duration::from_millis(1);
@@ -34,25 +36,18 @@
     assert_eq!(heartbeat.earliest_arrival(later), later);
 }
 
-#[test]
-fn bytes_after_series_of_stalls_date_from_first() {
-    let start = Instant::now();
-    let heartbeat = Heartbeat::new(start);
-    let between_stalls = start + 330 * MILLISECOND;
-    heartbeat.beat(between_stalls);
-    heartbeat.beat(between_stalls + 20 * MILLISECOND);
-    let resumed = between_stalls + 230 * MILLISECOND;
-    assert_eq!(heartbeat.earliest_arrival(resumed), start);
-}
-
-#[test]
-fn bytes_after_second_stall_date_from_its_start_once_first_is_over() {
+#[rstest]
+#[case::first_stall_still_recent(20 * MILLISECOND, Duration::ZERO)]
+#[case::first_stall_over(INTERVAL, 380 * MILLISECOND)]
+fn bytes_after_series_of_stalls_date_from_first_recent_stall(
+    #[case] pause: Duration,
+    #[case] expected: Duration,
+) {
     let start = Instant::now();
     let heartbeat = Heartbeat::new(start);
     let first_end = start + 330 * MILLISECOND;
     heartbeat.beat(first_end);
-    let last_beat = first_end + INTERVAL;
-    heartbeat.beat(last_beat);
-    let resumed = last_beat + 230 * MILLISECOND;
-    assert_eq!(heartbeat.earliest_arrival(resumed), last_beat);
+    heartbeat.beat(first_end + pause);
+    let resumed = first_end + pause + 230 * MILLISECOND;
+    assert_eq!(heartbeat.earliest_arrival(resumed), start + expected);
 }
