--- a/tests/large_bodies.rs
+++ b/tests/large_bodies.rs
@@ -3,8 +3,9 @@
 
 mod common;
 
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::process::ChildStderr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -120,11 +121,32 @@
     counts
 }
 
-async fn start_router(name: &str, server: &Peer) -> (Running, String) {
-    let text = config_text(&[("s-a", &server.address, "SERVING")], None);
-    let file = Scratch::new(name, &text);
-    let (process, address, _log) = serve(&file).await;
-    (process, address)
+/// A running router and its log.
+struct TestedRouter {
+    process: Running,
+    address: String,
+    log: BufReader<ChildStderr>,
+}
+
+impl TestedRouter {
+    async fn start(name: &str, server: &Peer) -> TestedRouter {
+        let text = config_text(&[("s-a", &server.address, "SERVING")], None);
+        let file = Scratch::new(name, &text);
+        let (process, address, log) = serve(&file).await;
+        TestedRouter {
+            process,
+            address,
+            log,
+        }
+    }
+
+    /// Ends the process and returns its log.
+    fn end(mut self) -> String {
+        drop(self.process);
+        let mut text = String::new();
+        let _ = self.log.read_to_string(&mut text);
+        text
+    }
 }
 
 #[rstest]
@@ -134,8 +156,9 @@
 async fn large_bodies_delay_nobody(#[case] name: &str, #[case] make_request: fn() -> Vec<u8>) {
     let slow = [vec![Step::Sleep(50)], answer("x")].concat();
     let server = peer(move |_, _, _| slow.clone()).await;
-    let (_process, address) = start_router(name, &server).await;
-    let _senders = Senders::start(&address, make_request);
+    let router = TestedRouter::start(name, &server).await;
+    let address = router.address.clone();
+    let senders = Senders::start(&address, make_request);
     let clients = (0..ORDINARY_CLIENTS).map(|_| tokio::spawn(ordinary_client(address.clone())));
     let mut all = Counts::default();
     for counts in futures_util::future::join_all(clients).await {
@@ -144,6 +167,9 @@
         all.rejected += counts.rejected;
         all.late += counts.late;
     }
-    assert_eq!(all.late, 0, "{all:?}");
-    assert!(all.served > 9 * all.rejected, "{all:?}");
+    drop(senders);
+    let log = router.end();
+    println!("{name}: {all:?}");
+    assert_eq!(all.late, 0, "{all:?}; {log}");
+    assert!(all.served > 9 * all.rejected, "{all:?}; {log}");
 }
