--- a/src/core/actor/actions.rs
+++ b/src/core/actor/actions.rs
@@ -12,7 +12,7 @@
 use crate::interface::{
     Action, Event, HealthCheckEnded, Outcome, ReplicaId, RequestId, Span, UnservedReason,
 };
-use crate::ops::refusals::Refusal;
+use crate::ops::unserved_requests::UnservedRequest;
 
 impl Core {
     /// Executes an action that the decision step at time `at` has returned.
@@ -80,13 +80,13 @@
             if in_flight.interactive {
                 self.load.record_rejection();
             }
-            let refusal = Refusal {
+            let unserved = UnservedRequest {
                 class: in_flight.class,
                 reason,
                 available_servers,
             };
-            self.metrics.record_refusal(refusal);
-            self.refusals.record(refusal);
+            self.metrics.record_unserved(unserved);
+            self.unserved_requests.record(unserved);
             let answer = answer(&in_flight.history);
             let verdict = match answer {
                 Answer::Rejected { .. } => "rejected",
--- a/src/core/actor/mod.rs
+++ b/src/core/actor/mod.rs
@@ -28,7 +28,7 @@
 use crate::interface::{Action, Class, Event, Idempotency, ReplicaId, RequestId, Span};
 use crate::ops::exclusions::Exclusions;
 use crate::ops::metrics::Metrics;
-use crate::ops::refusals::RefusalSummary;
+use crate::ops::unserved_requests::UnservedSummary;
 use endpoints::UpstreamHandle;
 use maintenance::MaintenanceReply;
 use timers::TimerQueue;
@@ -68,7 +68,7 @@
     start_times: StartTimes,
     exclusions: Exclusions,
     metrics: Arc<Metrics>,
-    refusals: RefusalSummary,
+    unserved_requests: UnservedSummary,
     /// When the metrics of the fleet were last published; `None` if they are due with the next
     /// step.
     fleet_metrics_published_at: Option<Instant>,
@@ -105,7 +105,7 @@
             maintenance_replies: Vec::new(),
             start_times: StartTimes::default(),
             exclusions: Exclusions::new(options.exclusions),
-            refusals: RefusalSummary::new(options.metrics.class_names()),
+            unserved_requests: UnservedSummary::new(options.metrics.class_names()),
             metrics: options.metrics,
             fleet_metrics_published_at: None,
             stalls: StallDetector::new(Instant::now()),
--- a/src/core/actor/requests.rs
+++ b/src/core/actor/requests.rs
@@ -13,7 +13,7 @@
 use crate::core::request_state::RequestState;
 use crate::core::{Answer, Request, RequestAttributes};
 use crate::interface::{Arrival, Event, Outcome, RequestId, Span, Timestamp, UnservedReason};
-use crate::ops::refusals::Refusal;
+use crate::ops::unserved_requests::UnservedRequest;
 
 /// Returns the attributes of a request that are passed to the decision module.
 fn arrival(request: RequestId, attributes: &RequestAttributes, expires_at: Timestamp) -> Arrival {
@@ -45,7 +45,7 @@
     ) {
         if self.requests.len() >= self.max_requests_in_flight {
             // The decision module is not notified of requests beyond the limit, as on the platform.
-            self.metrics.record_refusal(Refusal {
+            self.metrics.record_unserved(UnservedRequest {
                 class: request.attributes.class,
                 reason: UnservedReason::InFlightLimit,
                 available_servers: 0,
--- a/src/core/actor/run.rs
+++ b/src/core/actor/run.rs
@@ -146,9 +146,9 @@
         );
         let status = self.balancer.admission_status();
         self.metrics.set_admission(&status);
-        if let Some(refusals) = self.refusals.take_due(at) {
+        if let Some(unserved_requests) = self.unserved_requests.take_due(at) {
             info!(
-                "requests not served: {refusals}; admitted fraction {:.2}, miss rate {:.2}, {} servers take requests, misses {:?}",
+                "requests not served: {unserved_requests}; admitted fraction {:.2}, miss rate {:.2}, {} servers take requests, misses {:?}",
                 status.admitted_fraction, status.miss_rate, status.mature_replicas, status.misses
             );
         }
--- a/src/core/actor/timers.rs
+++ b/src/core/actor/timers.rs
@@ -10,7 +10,7 @@
 use crate::core::request_state::RequestState;
 use crate::core::{Answer, AttemptId};
 use crate::interface::{Event, Outcome, RequestId, Timestamp, UnservedReason};
-use crate::ops::refusals::Refusal;
+use crate::ops::unserved_requests::UnservedRequest;
 
 /// The purpose of a timer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -90,7 +90,7 @@
             .state
             .attempt()
             .is_some_and(|attempt| !attempt.gate.cancel_unstarted());
-        self.metrics.record_refusal(Refusal {
+        self.metrics.record_unserved(UnservedRequest {
             class: in_flight.class,
             reason: UnservedReason::Expired,
             available_servers: 0,
--- a/src/ops/metrics.rs
+++ b/src/ops/metrics.rs
@@ -11,7 +11,7 @@
 
 use crate::interface::AdmissionStatus;
 use crate::logs;
-use crate::ops::refusals::Refusal;
+use crate::ops::unserved_requests::UnservedRequest;
 
 use admission::AdmissionMetrics;
 pub use client_side::{ClientMetrics, ConnectionEnd};
@@ -136,8 +136,8 @@
     }
 
     /// Counts a request that was rejected or failed.
-    pub fn record_refusal(&self, refusal: Refusal) {
-        self.admission.record_refusal(refusal);
+    pub fn record_unserved(&self, unserved: UnservedRequest) {
+        self.admission.record_unserved(unserved);
     }
 
     /// Sets how many model servers are listed, and how many of them are not in service or ejected
--- a/src/ops/metrics/admission.rs
+++ b/src/ops/metrics/admission.rs
@@ -4,13 +4,13 @@
 
 use super::gauge_value;
 use crate::interface::{AdmissionStatus, MissCause, UnservedReason};
-use crate::ops::refusals::Refusal;
+use crate::ops::unserved_requests::UnservedRequest;
 
 /// The values of the label `servers`: whether a model server was available for the request.
 const AVAILABILITY_LABELS: [&str; 2] = ["none", "available"];
 
-/// The counters of one class's refusals with one reason, indexed by availability.
-type RefusalCounters = [IntCounter; AVAILABILITY_LABELS.len()];
+/// The counters of one class's unserved requests with one reason, indexed by availability.
+type UnservedCounters = [IntCounter; AVAILABILITY_LABELS.len()];
 
 /// Metrics of admission control, which start at 0, except the admitted fraction.
 #[derive(Debug)]
@@ -21,7 +21,7 @@
     misses: [IntCounter; MissCause::LABELS.len()],
     unserved: [IntCounter; UnservedReason::LABELS.len()],
     /// Indexed by class, then by reason.
-    refusals: Vec<[RefusalCounters; UnservedReason::LABELS.len()]>,
+    by_class: Vec<[UnservedCounters; UnservedReason::LABELS.len()]>,
 }
 
 impl AdmissionMetrics {
@@ -59,7 +59,7 @@
             "Requests rejected or failed, by reason.",
             &["reason"],
         )?;
-        let refusals = counters(
+        let by_class = counters(
             "router_refusals",
             "Requests rejected or failed, by class, reason and whether a server was available.",
             &["group", "reason", "servers"],
@@ -67,7 +67,7 @@
         let counters_of = |class: &String| {
             UnservedReason::LABELS.map(|reason| {
                 AVAILABILITY_LABELS
-                    .map(|servers| refusals.with_label_values(&[class.as_str(), reason, servers]))
+                    .map(|servers| by_class.with_label_values(&[class.as_str(), reason, servers]))
             })
         };
         Ok(AdmissionMetrics {
@@ -79,15 +79,15 @@
             mature_servers,
             misses: MissCause::LABELS.map(|label| misses.with_label_values(&[label])),
             unserved: UnservedReason::LABELS.map(|label| unserved.with_label_values(&[label])),
-            refusals: classes.iter().map(counters_of).collect(),
+            by_class: classes.iter().map(counters_of).collect(),
         })
     }
 
-    pub(super) fn record_refusal(&self, refusal: Refusal) {
-        let reason = refusal.reason as usize;
+    pub(super) fn record_unserved(&self, unserved: UnservedRequest) {
+        let reason = unserved.reason as usize;
         self.unserved[reason].inc();
-        if let Some(counters) = self.refusals.get(refusal.class as usize) {
-            counters[reason][usize::from(refusal.available_servers > 0)].inc();
+        if let Some(counters) = self.by_class.get(unserved.class as usize) {
+            counters[reason][usize::from(unserved.available_servers > 0)].inc();
         }
     }
 
--- a/src/ops/metrics/tests.rs
+++ b/src/ops/metrics/tests.rs
@@ -87,13 +87,13 @@
 #[test]
 fn refusals_are_counted_by_reason() {
     let metrics = Metrics::new(&["hint".into()]);
-    let refusal = |reason, available_servers| Refusal {
+    let unserved = |reason, available_servers| UnservedRequest {
         class: 0,
         reason,
         available_servers,
     };
-    metrics.record_refusal(refusal(UnservedReason::NoReplica, 0));
-    metrics.record_refusal(refusal(UnservedReason::Ending, 2));
+    metrics.record_unserved(unserved(UnservedReason::NoReplica, 0));
+    metrics.record_unserved(unserved(UnservedReason::Ending, 2));
     let text = metrics.encode();
     for (label, count) in [("no_replica", 1), ("ending", 1), ("shed", 0)] {
         let line = format!("router_unserved{{reason=\"{label}\"}} {count}\n");
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -5,4 +5,4 @@
 pub mod exclusions;
 pub mod maintenance_state;
 pub mod metrics;
-pub mod refusals;
+pub mod unserved_requests;
--- a/src/ops/unserved_requests.rs
+++ b/src/ops/unserved_requests.rs
@@ -10,7 +10,7 @@
 
 /// A request that is not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
+pub struct UnservedRequest {
     /// The request's class.
     pub class: u32,
     /// Why it is not served.
@@ -19,28 +19,28 @@
     pub available_servers: u32,
 }
 
-/// Numbers of refusals of one class with one reason.
+/// Numbers of unserved requests of one class with one reason.
 #[derive(Clone, Copy, Debug, Default)]
-struct RefusalCount {
-    refused: u32,
+struct UnservedCount {
+    total: u32,
     /// Those at which a model server was available.
-    beside_available: u32,
+    with_available_server: u32,
 }
 
-/// The refusals since the last summary in the log.
+/// The unserved requests since the last summary in the log.
 #[derive(Debug)]
-pub struct RefusalSummary {
+pub struct UnservedSummary {
     class_names: Vec<String>,
     /// Indexed by class, then by reason.
-    counts: Vec<[RefusalCount; UnservedReason::LABELS.len()]>,
+    counts: Vec<[UnservedCount; UnservedReason::LABELS.len()]>,
     is_empty: bool,
     last_summary: Option<Instant>,
 }
 
-impl RefusalSummary {
+impl UnservedSummary {
     /// Creates an empty summary for these request classes.
-    pub fn new(class_names: &[String]) -> RefusalSummary {
-        RefusalSummary {
+    pub fn new(class_names: &[String]) -> UnservedSummary {
+        UnservedSummary {
             class_names: class_names.to_vec(),
             counts: vec![Default::default(); class_names.len()],
             is_empty: true,
@@ -48,18 +48,18 @@
         }
     }
 
-    /// Counts a refusal.
-    pub fn record(&mut self, refusal: Refusal) {
-        let Some(counts) = self.counts.get_mut(refusal.class as usize) else {
+    /// Counts an unserved request.
+    pub fn record(&mut self, unserved: UnservedRequest) {
+        let Some(counts) = self.counts.get_mut(unserved.class as usize) else {
             return;
         };
-        let count = &mut counts[refusal.reason as usize];
-        count.refused += 1;
-        count.beside_available += u32::from(refusal.available_servers > 0);
+        let count = &mut counts[unserved.reason as usize];
+        count.total += 1;
+        count.with_available_server += u32::from(unserved.available_servers > 0);
         self.is_empty = false;
     }
 
-    /// Returns the text of the summary and starts a new one, if there are refusals and the last
+    /// Returns the text of the summary and starts a new one, if there are unserved requests and the last
     /// summary is old enough.
     pub fn take_due(&mut self, now: Instant) -> Option<String> {
         let is_recent = |last: Instant| now.saturating_duration_since(last) < SUMMARY_INTERVAL;
@@ -74,19 +74,19 @@
     }
 }
 
-impl fmt::Display for RefusalSummary {
+impl fmt::Display for UnservedSummary {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut separator = "";
         for (name, counts) in self.class_names.iter().zip(&self.counts) {
             for (label, count) in UnservedReason::LABELS.iter().zip(counts) {
-                if count.refused > 0 {
-                    let RefusalCount {
-                        refused,
-                        beside_available,
+                if count.total > 0 {
+                    let UnservedCount {
+                        total,
+                        with_available_server,
                     } = count;
                     write!(
                         out,
-                        "{separator}{name} {label} {refused} ({beside_available} beside available servers)"
+                        "{separator}{name} {label} {total} ({with_available_server} beside available servers)"
                     )?;
                     separator = ", ";
                 }
--- a/src/policy/arrival.rs
+++ b/src/policy/arrival.rs
@@ -57,7 +57,7 @@
             .admission
             .for_model(arrival.model, &self.settings, self.now);
         let admitted = admission.admits(priority_weight / cost, admission_draw, self.now)
-            || admission_draw <= self.share_of_room(arrival.request);
+            || admission_draw <= self.spare_capacity_share(arrival.request);
         let reason = if !admitted {
             Some(UnservedReason::Shed)
         } else if !self.has_eligible_replica(arrival.request) {
--- a/src/policy/availability.rs
+++ b/src/policy/availability.rs
@@ -1,16 +1,16 @@
 //! How many replicas could take a request at the time of a decision, and with which
-//! probability this router may use their room while admission control sheds.
+//! probability this router may use their spare capacity while admission control sheds.
 
 use super::balancer::Balancer;
 use super::replica_table::ReplicaIndex;
 use crate::interface::RequestId;
 
-/// Maximum number of replicas examined. It bounds the work, and in a large fleet also the room that
-/// is used: one of many routers knows little of what the others send.
+/// Maximum number of replicas examined. It bounds the work, and in a large fleet also the spare
+/// capacity that is used: one of many routers knows little of what the others send.
 const MAX_EXAMINED_REPLICAS: usize = 32;
 /// Number of requests that every replica is assumed to be able to run at the same time.
 const ASSUMED_SLOTS: u32 = 6;
-/// Number of requests that all routers together may send at the same time to a replica with room.
+/// Number of requests that all routers together may send at the same time to a replica with a free slot.
 const REQUESTS_PER_REPLICA: f64 = 4.0;
 
 impl Balancer {
@@ -24,19 +24,21 @@
     }
 
     /// Returns the probability, from 0 to 1, with which this router may send a request to a replica
-    /// with room although admission control would refuse it. All routers may see the same room, so
-    /// the requests that fit there are divided by the number of routers.
-    pub(super) fn share_of_room(&self, id: RequestId) -> f64 {
+    /// with a free slot although admission control would reject it. All routers may see the same
+    /// free slots, so the requests that fit there are divided by the number of routers.
+    pub(super) fn spare_capacity_share(&self, id: RequestId) -> f64 {
         let examined = self.maturity.mature().iter().take(MAX_EXAMINED_REPLICAS);
         let available = examined.filter(|&&replica| self.is_available(id, replica));
-        let with_room: f64 = available.map(|&replica| self.has_room(replica)).sum();
+        let free_replicas: f64 = available
+            .map(|&replica| self.free_slot_probability(replica))
+            .sum();
         let routers = f64::from(self.settings.router_count.max(1));
-        (with_room * REQUESTS_PER_REPLICA / routers).min(1.0)
+        (free_replicas * REQUESTS_PER_REPLICA / routers).min(1.0)
     }
 
     /// Returns the probability that a replica has a free slot. The other routers are assumed to
     /// have the same mean number of attempts in flight at each replica as this router.
-    fn has_room(&self, replica: ReplicaIndex) -> f64 {
+    fn free_slot_probability(&self, replica: ReplicaIndex) -> f64 {
         let other_routers = f64::from(self.settings.router_count.max(1) - 1);
         let in_service = self.maturity.in_service().max(1) as f64;
         let used_by_others = other_routers * f64::from(self.attempts_in_flight) / in_service;
--- a/src/policy/availability/tests.rs
+++ b/src/policy/availability/tests.rs
@@ -1,10 +1,10 @@
-//! Tests the probability that the other routers leave room at a replica.
+//! Tests the probability that the other routers leave a slot of a replica free.
 
 use super::{ASSUMED_SLOTS, poisson_below};
 
 /// Allowed error of the rounded expected values.
 const MAX_ERROR: f64 = 1e-3;
-/// Allowed probability of room at a replica that is sent far more requests than the assumed slots.
+/// Allowed probability of a free slot at a replica that is sent far more requests than the assumed slots.
 const MAX_ROOM: f64 = 1e-2;
 
 #[test]
@@ -16,7 +16,7 @@
 }
 
 #[test]
-fn overloaded_fleet_leaves_no_room() {
+fn overloaded_fleet_leaves_no_free_slot() {
     for mean in [16.0, 1e9] {
         assert!(poisson_below(ASSUMED_SLOTS, mean) < MAX_ROOM);
     }
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -63,9 +63,9 @@
     /// Returns whether a request is still admitted, given its cost at the selected replica. A
     /// request migrates if the replica that has its prompt cached is late. The migration adds a
     /// complete prefill ahead of many requests whose prompts are cached, whereas a retry by the
-    /// client still finds the prompt at the first replica. A migration is admitted where
-    /// replicas have room for its prefill. Each rejection raises the value of the session's next request,
-    /// so the session migrates after a few rejections.
+    /// client still finds the prompt at the first replica. A migration is admitted where replicas
+    /// have free slots. Each rejection raises the value of the session's next request, so the
+    /// session migrates after a few rejections.
     fn admits_migration(&mut self, id: RequestId, replica: ReplicaIndex) -> bool {
         let Some(request) = self.requests.get(&id) else {
             return false;
@@ -89,6 +89,6 @@
                 .admission
                 .for_model(arrival.model, &self.settings, self.now)
                 .still_admits(value, admission_draw)
-            || admission_draw <= self.share_of_room(id)
+            || admission_draw <= self.spare_capacity_share(id)
     }
 }
--- a/tests/session_rejections/cluster.rs
+++ b/tests/session_rejections/cluster.rs
@@ -37,16 +37,16 @@
 
 /// Numbers of requests that were not served.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct RefusalCount {
-    refused: usize,
-    beside_available: usize,
+pub struct UnservedCount {
+    total: usize,
+    with_available_server: usize,
 }
 
 /// The result of a run.
 pub struct SeedRun {
     pub sessions: Vec<Session>,
     /// Numbers of requests that were not served, by class and reason, as the routers logged them.
-    pub refusals: BTreeMap<String, RefusalCount>,
+    pub unserved: BTreeMap<String, UnservedCount>,
 }
 
 /// Runs a seed with router processes of this program.
@@ -93,7 +93,7 @@
     let logs = faults.processes.iter().map(RouterProcess::log);
     Ok(SeedRun {
         sessions: sessions.into_iter().flatten().collect(),
-        refusals: count_refusals(logs),
+        unserved: count_unserved(logs),
     })
 }
 
@@ -137,23 +137,23 @@
     settings["specifics"]["token-aim"] = json!([0.08, 0.08]);
 }
 
-/// Counts the refusals in the routers' logs, which name for each class and reason how many there
+/// Counts the unserved requests in the routers' logs, which name for each class and reason how many there
 /// were, and how many of them beside an available server.
-fn count_refusals(logs: impl Iterator<Item = String>) -> BTreeMap<String, RefusalCount> {
-    let mut counts: BTreeMap<String, RefusalCount> = BTreeMap::new();
+fn count_unserved(logs: impl Iterator<Item = String>) -> BTreeMap<String, UnservedCount> {
+    let mut counts: BTreeMap<String, UnservedCount> = BTreeMap::new();
     for log in logs {
         let summaries = log.lines().filter_map(|line| {
             let (_, summary) = line.split_once("requests not served: ")?;
             summary.split_once(';')
         });
-        for refusal in summaries.flat_map(|(summary, _)| summary.split(", ")) {
-            let words: Vec<&str> = refusal.split([' ', '(']).collect();
-            let [class, reason, refused, _, beside_available, ..] = words[..] else {
+        for entry in summaries.flat_map(|(summary, _)| summary.split(", ")) {
+            let words: Vec<&str> = entry.split([' ', '(']).collect();
+            let [class, reason, total, _, with_available_server, ..] = words[..] else {
                 continue;
             };
             let count = counts.entry(format!("{class} {reason}")).or_default();
-            count.refused += refused.parse().unwrap_or(0);
-            count.beside_available += beside_available.parse().unwrap_or(0);
+            count.total += total.parse().unwrap_or(0);
+            count.with_available_server += with_available_server.parse().unwrap_or(0);
         }
     }
     counts
--- a/tests/session_rejections/main.rs
+++ b/tests/session_rejections/main.rs
@@ -57,7 +57,7 @@
                     violations.push((seed, name, rejections.excess()));
                 }
             }
-            println!("seed {seed}: {:?}", run.refusals);
+            println!("seed {seed}: {:?}", run.unserved);
         }
     }
     assert!(violations.is_empty(), "{violations:?}");
--- a/tests/sparse_traffic/simulation.rs
+++ b/tests/sparse_traffic/simulation.rs
@@ -23,7 +23,7 @@
 
 /// A request that was rejected or failed.
 #[derive(Clone, Copy, Debug)]
-pub struct Refusal {
+pub struct UnservedRequest {
     #[expect(dead_code, reason = "shown in the failure message")]
     after: Span,
     pub reason: UnservedReason,
@@ -69,7 +69,7 @@
     pub(super) turns: HashMap<u32, Turn>,
     due: Vec<DueEvent>,
     last_request: u32,
-    refusals: Vec<Refusal>,
+    unserved: Vec<UnservedRequest>,
 }
 
 /// Settings with two classes that differ in weight and deadline.
@@ -113,12 +113,12 @@
             turns: HashMap::new(),
             due: Vec::new(),
             last_request: 0,
-            refusals: Vec::new(),
+            unserved: Vec::new(),
         }
     }
 
-    /// Plays the simulation and returns the refusals.
-    pub fn run(mut self) -> Vec<Refusal> {
+    /// Plays the simulation and returns the unserved requests.
+    pub fn run(mut self) -> Vec<UnservedRequest> {
         while self.now - START < DURATION {
             self.now = self.now + STEP;
             self.begin_turns();
@@ -130,7 +130,7 @@
                 }
             }
         }
-        self.refusals
+        self.unserved
     }
 
     fn begin_turns(&mut self) {
@@ -225,7 +225,7 @@
                 request, reason, ..
             } => {
                 self.end_turn(request.0);
-                self.refusals.push(Refusal {
+                self.unserved.push(UnservedRequest {
                     after: self.now - START,
                     reason,
                     idle_replicas: self.replicas.idle(self.now),
