review: a router ends with its case, however the case ends

Change: the stand-ins end processes by system calls, and a router gets the signal when its case dies.

--- a/review/stand_ins/src/case.rs
+++ b/review/stand_ins/src/case.rs
@@ -127,9 +127,7 @@
     /// Ends the case's processes and the case.
     pub fn end(&self, verdict: Verdict) -> ! {
         for id in self.shared.processes.lock().unwrap().drain(..) {
-            let _ = std::process::Command::new("kill")
-                .args(["-KILL", &id.to_string()])
-                .status();
+            crate::process::kill_process(id);
         }
         self.note(format!("verdict: {verdict:?}"));
         println!("{verdict:?}");
--- a/review/stand_ins/src/lib.rs
+++ b/review/stand_ins/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod json;
 pub mod model_server;
 pub mod platform;
+mod process;
 pub mod router;
--- a/review/stand_ins/src/platform.rs
+++ b/review/stand_ins/src/platform.rs
@@ -42,7 +42,7 @@
                     case.note(format!(
                         "platform: the router holds {held} KiB, its limit is {limit}"
                     ));
-                    router.signal("KILL");
+                    router.kill();
                     watched.exceeded.store(true, Ordering::SeqCst);
                     return;
                 }
--- a/review/stand_ins/src/router.rs
+++ b/review/stand_ins/src/router.rs
@@ -3,7 +3,6 @@
 
 use std::fs::{self, File};
 use std::net::TcpListener;
-use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -12,14 +11,6 @@
 use crate::case::Case;
 use crate::http;
 
-/// `PR_SET_PDEATHSIG` and `SIGKILL` of Linux: a router ends with its case, however the case ends.
-const PARENT_DEATH_SIGNAL: i32 = 1;
-const KILL: u64 = 9;
-
-unsafe extern "C" {
-    fn prctl(option: i32, argument: u64) -> i32;
-}
-
 /// How long a router may take until it is ready (the pages allow 30 s).
 const START_LIMIT: Duration = Duration::from_secs(30);
 
@@ -82,13 +73,7 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log);
-        // SAFETY: between fork and exec the child makes this one system call
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PARENT_DEATH_SIGNAL, KILL);
-                Ok(())
-            });
-        }
+        crate::process::end_with_parent(&mut command);
         let child = command.spawn().unwrap_or_else(|error| case.give_up(error));
         case.note(format!("platform: started {run} as process {}", child.id()));
         case.started_process(child.id());
@@ -151,13 +136,9 @@
         megabytes.unwrap_or_else(|| self.case.give_up("no memory_mb")) << 10
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        let id = self.id.to_string();
-        let _ = Command::new("kill")
-            .args([&format!("-{name}"), &id])
-            .status();
-        self.case
-            .note(format!("platform: sent SIG{name} to the router"));
+    /// Kills the process.
+    pub fn kill(&self) {
+        crate::process::kill_process(self.id);
+        self.case.note("platform: killed the router");
     }
 }
