A batch whose budget is exhausted no longer takes its lines into memory

Cause: a line that exceeded its budget returned its permit and slept until the refill with its request in memory. The permit admitted the next line, which did the same, to the end of the file.

Evidence: 35 and 28 lines completed, then 199,180 KiB within 0.5 s; 2.5 MiB before the budget ends.

Ruled out: upload and result file are streamed; lines rejected for other reasons keep their permit.

Change: a line is read only once it holds a permit. A line over budget ends its task, is kept as a range of the input file, and pauses its batch until the budget is checked again (at the refill, at the latest after 5 s). The requests in memory are those that hold a permit, over all batches. Related: each waiting batch held a parsed line; a cancelled batch over budget ended as completed.

--- a/src/batch/jobs.rs
+++ b/src/batch/jobs.rs
@@ -6,10 +6,13 @@
 mod core_submission;
 mod edge_submission;
 mod error;
+mod input_file;
+mod line_scheduler;
 mod line_worker;
 mod lines;
 mod new_batch;
 mod pending_line;
+mod postponed_lines;
 mod result_file;
 mod retry;
 mod stop;
@@ -21,13 +24,13 @@
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
-use tokio::io::AsyncReadExt;
 use tokio::sync::watch;
 
 use super::wall_clock::unix_seconds;
 use crate::edge::Caller;
 
 use batch::Batch;
+use input_file::InputFile;
 use retry::SpoolRetrier;
 use stop::StopSignal;
 use table::BatchTable;
@@ -88,8 +91,8 @@
         let object = batch.object();
         let max_batches = self.context.options.max_batches;
         self.table.insert(batch, max_batches)?;
-        // bytes after the recorded size do not belong to the file
-        tokio::spawn(worker.run(input.file.take(input.info.bytes)));
+        let input = InputFile::new(input).await;
+        tokio::spawn(worker.run(input));
         Ok(object)
     }
 
--- a/src/batch/jobs/edge_submission.rs
+++ b/src/batch/jobs/edge_submission.rs
@@ -3,9 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use serde_json::Value;
-
-use super::line_worker::{LineWorker, MIN_RESUBMIT_DELAY};
+use super::line_worker::{LineProgress, LineWorker};
 use crate::batch::completion::{CompletionBuilder, CompletionDefaults};
 use crate::batch::concurrency::Permit;
 use crate::batch::edge_access::EdgeAccess;
@@ -15,44 +13,32 @@
 
 /// The result of a submission that did not fail.
 enum Submission {
-    /// The complete answer.
-    Completed(Value),
+    /// The line needs no further submission now.
+    Ended(LineProgress),
     /// The request was rejected before any attempt and may be submitted again.
     Rejected {
         /// The Retry-After time, if the edge gave one.
         retry_after: Option<Duration>,
     },
-    /// The budget is exhausted until it is refilled.
-    OutOfBudget {
-        /// The time until the budget is refilled.
-        refilled_in: Duration,
-    },
 }
 
 impl LineWorker {
-    /// Submits a line to the edge until an attempt has been made.
+    /// Submits a line to the edge until an attempt has been made or the line exceeds a budget.
     pub(super) async fn run_on_edge(
         &self,
         edge: &EdgeAccess,
         line: &LineRequest,
         trace_id: &str,
         permit: Permit,
-    ) -> Result<Value, LineError> {
+    ) -> Result<LineProgress, LineError> {
         let mut backoff = LineWorker::resubmit_backoff();
-        let mut permit = permit;
         loop {
             match self.submit_to_edge(edge, line, trace_id, &permit).await? {
-                Submission::Completed(completion) => return Ok(completion),
+                Submission::Ended(progress) => return Ok(progress),
                 Submission::Rejected { retry_after } => {
                     permit.rejected();
                     self.wait_to_resubmit(&mut backoff, retry_after).await?;
                 }
-                Submission::OutOfBudget { refilled_in } => {
-                    // other lines may be in flight until the budget is refilled
-                    drop(permit);
-                    self.stop.sleep(refilled_in.max(MIN_RESUBMIT_DELAY)).await?;
-                    permit = self.context.concurrency.acquire().await;
-                }
             }
         }
     }
@@ -93,7 +79,7 @@
             created_at: unix_seconds(),
             model: &answer.model().into(),
         })?;
-        Ok(Submission::Completed(completion))
+        Ok(Submission::Ended(LineProgress::Completed(completion)))
     }
 }
 
@@ -107,9 +93,7 @@
     } = rejection;
     match cause {
         RejectionCause::BudgetExhausted { refill_in } => {
-            return Ok(Submission::OutOfBudget {
-                refilled_in: refill_in,
-            });
+            return Ok(Submission::Ended(LineProgress::OutOfBudget { refill_in }));
         }
         RejectionCause::LargerThanBudget => {
             return Err(LineError::BudgetExhausted(error.message));
--- a/src/batch/jobs/line_worker.rs
+++ b/src/batch/jobs/line_worker.rs
@@ -14,10 +14,18 @@
 use crate::edge::Caller;
 
 /// The minimum delay before a rejected request is submitted again.
-pub(super) const MIN_RESUBMIT_DELAY: Duration = Duration::from_millis(100);
+const MIN_RESUBMIT_DELAY: Duration = Duration::from_millis(100);
 /// The maximum delay if the rejection has no Retry-After.
 const MAX_RESUBMIT_DELAY: Duration = Duration::from_secs(5);
 
+/// The result of running a line that did not fail.
+pub(super) enum LineProgress {
+    /// The complete answer.
+    Completed(Value),
+    /// The line exceeds a budget, which has capacity for it after `refill_in`.
+    OutOfBudget { refill_in: Duration },
+}
+
 /// Runs one line.
 pub(super) struct LineWorker {
     pub(super) context: Arc<JobContext>,
@@ -28,16 +36,19 @@
 }
 
 impl LineWorker {
-    /// Runs the line. The permit is held while the line's request is in flight.
+    /// Runs the line. The permit is held until the line has ended or exceeds a budget.
     pub(super) async fn run(
         &self,
         line: &LineRequest,
         trace_id: &str,
         permit: Permit,
-    ) -> Result<Value, LineError> {
+    ) -> Result<LineProgress, LineError> {
         match &self.context.edge {
             Some(edge) => self.run_on_edge(edge, line, trace_id, permit).await,
-            None => self.run_on_core(line, trace_id, permit).await,
+            None => {
+                let completion = self.run_on_core(line, trace_id, permit).await?;
+                Ok(LineProgress::Completed(completion))
+            }
         }
     }
 
--- a/src/batch/jobs/pending_line.rs
+++ b/src/batch/jobs/pending_line.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashSet;
 use std::hash::{BuildHasher, RandomState};
+use std::ops::Range;
+use std::time::Duration;
 
 use serde_json::Value;
 use tokio::task::JoinError;
@@ -31,6 +33,19 @@
     pub(super) custom_id: Option<String>,
     /// The trace id that is sent to model servers.
     pub(super) trace_id: String,
+    /// The range of the line's text in the input file.
+    pub(super) range: Range<u64>,
+}
+
+/// How the task of a line ended.
+pub(super) enum LineEnd {
+    /// The line has its outcome.
+    Finished(LineOutcome),
+    /// The line exceeds a budget that is refilled; it was not sent to any model server.
+    OutOfBudget {
+        line: PendingLine,
+        refill_in: Duration,
+    },
 }
 
 impl PendingLine {
@@ -45,12 +60,14 @@
     }
 }
 
-/// The outcome of a line's task. If the task panicked, the line's number and ids are unknown.
-pub(super) fn outcome_of(ended: Result<LineOutcome, JoinError>) -> LineOutcome {
-    ended.unwrap_or_else(|e| LineOutcome {
-        number: 0,
-        custom_id: None,
-        trace_id: String::new(),
-        result: Err(LineError::Internal(e.to_string())),
+/// The end of a line's task. If the task panicked, the line's number and ids are unknown.
+pub(super) fn end_of(ended: Result<LineEnd, JoinError>) -> LineEnd {
+    ended.unwrap_or_else(|e| {
+        LineEnd::Finished(LineOutcome {
+            number: 0,
+            custom_id: None,
+            trace_id: String::new(),
+            result: Err(LineError::Internal(e.to_string())),
+        })
     })
 }
--- a/tests/batch_faults.rs
+++ b/tests/batch_faults.rs
@@ -4,17 +4,14 @@
 mod common;
 
 use std::collections::HashSet;
-use std::io::{BufRead, BufReader};
-use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use cluster_test::injection::{Call, Fault, Injection, Rule, errno};
-use common::client::{Client, Got};
+use common::batch_program::*;
+use common::client::Client;
 use common::folder::Folder;
-use common::process::Running;
 use fake_servers::{ModelServer, RequestLog, ServerOptions};
-use serde_json::{Value, json};
-use stilespan::identity;
+use serde_json::Value;
 use tokio::time::{sleep, timeout};
 
 const LINES: usize = 200;
@@ -25,7 +22,8 @@
 const SEED: u64 = 147;
 /// Far more than the batch needs, even on a busy machine.
 const TIMEOUT: Duration = Duration::from_secs(60);
-const ENDPOINT: &str = "/v1/chat/completions";
+/// Far more than the requests cost.
+const BUDGET_TOKENS: u64 = 10_000_000;
 
 fn rules() -> Vec<Rule> {
     let fails = |call, errno, rate| Rule::new(call, Fault::Errno(errno), rate);
@@ -41,92 +39,14 @@
     ]
 }
 
-fn key() -> String {
-    identity::format_key("class", &[7; 32])
-}
-
-fn write_settings(folder: &Folder, server: &ModelServer) {
-    let hash = identity::format_hash(&identity::hash_secret(
-        identity::split_key(&key()).unwrap().secret,
-    ));
-    let edge = "keys = \"keys.toml\"\nterms = [\"2020-01-01\"]\n\
-        [[model]]\nname = \"hint\"\nwindow = 4000\nmax_answer = 100\nclass = \"hint\"\n\
-        [[price]]\nmodel = \"hint\"\nprompt = 1_000_000\nanswer = 1_000_000\n\
-        [[node]]\npath = \"d\"\nbudgets = [{ per = \"term\", tokens = 10_000_000 }]\n";
-    let keys = format!("[[key]]\nid = \"class\"\nnode = \"d\"\nhash = \"{hash}\"\n");
-    let hosts = format!("name,address\ns0,{}\n", server.address);
-    let spool = folder.path("spool");
-    let batch = format!("listen = \"127.0.0.1:0\"\nspool = {spool:?}\ninventory = \"hosts.csv\"\n");
-    let files = [
-        ("edge.toml", edge),
-        ("keys.toml", &keys),
-        ("hosts.csv", &hosts),
-        ("batch.toml", &batch),
-    ];
-    for (name, text) in files {
-        std::fs::write(folder.path(name), text).unwrap();
-    }
-}
-
-/// Starts the program with the batch service; returns the process and the service's address. The
-/// log is read to its end, so that the program never blocks on writing it.
-fn start_program(folder: &Folder, injection: &Injection) -> (Running, String) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_stilespan"))
-        .args(["serve", "--batch"])
-        .arg(folder.path("batch.toml"))
-        .arg("--edge")
-        .arg(folder.path("edge.toml"))
-        .envs(injection.environment())
-        .env_remove("GW_CONFIG")
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let child = Running(child);
-    let mut line = String::new();
-    let address = loop {
-        line.clear();
-        assert!(
-            log.read_line(&mut line).unwrap() > 0,
-            "the program ended before the batch service started"
-        );
-        if let Some((_, address)) = line.trim().split_once("batch front on ") {
-            break address.to_string();
-        }
-    };
-    std::thread::spawn(move || log.lines().map_while(Result::ok).count());
-    (child, address)
-}
-
-async fn request(client: &mut Client, method: &str, path: &str, headers: &str, body: &str) -> Got {
-    let text = format!(
-        "{method} {path} HTTP/1.1\r\nAuthorization: Bearer {}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
-        key(),
-        body.len()
-    );
-    client.call(text.as_bytes()).await
-}
-
-fn chat_body(text: &str) -> Value {
-    json!({"model": "hint", "max_tokens": 5, "messages": [{"role": "user", "content": text}]})
-}
-
 /// Uploads the lines and retries while the spool is full. Returns the file's id.
 async fn upload(client: &mut Client) -> String {
     let lines: String = (0..LINES)
-        .map(|number| {
-            let line = json!({"custom_id": format!("pupil-{number}"), "method": "POST",
-                "url": ENDPOINT, "body": chat_body(&format!("line {number}"))});
-            format!("{line}\n")
-        })
+        .map(|number| line(&format!("pupil-{number}"), &format!("line {number}")))
         .collect();
-    let form = format!(
-        "--XX\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n--XX\r\n\
-         Content-Disposition: form-data; name=\"file\"; filename=\"set.jsonl\"\r\n\r\n{lines}\r\n--XX--\r\n"
-    );
-    let headers = "Content-Type: multipart/form-data; boundary=XX\r\n";
+    let form = form(&lines);
     loop {
-        let got = request(client, "POST", "/v1/files", headers, &form).await;
+        let got = request(client, "POST", "/v1/files", FORM_HEADERS, &form).await;
         if got.head.status == 200 {
             return got.json()["id"].as_str().unwrap().to_string();
         }
@@ -139,18 +59,7 @@
 async fn run_batch(address: &str) -> Vec<Value> {
     let mut client = Client::new(address).await;
     let input = upload(&mut client).await;
-    let new_batch =
-        json!({"input_file_id": input, "endpoint": ENDPOINT, "completion_window": "24h"});
-    let created = request(
-        &mut client,
-        "POST",
-        "/v1/batches",
-        "",
-        &new_batch.to_string(),
-    )
-    .await;
-    assert_eq!(created.head.status, 200, "{created:?}");
-    let path = format!("/v1/batches/{}", created.json()["id"].as_str().unwrap());
+    let path = create_batch(&mut client, &input).await;
     let batch = loop {
         let batch = request(&mut client, "GET", &path, "", "").await.json();
         if batch["status"] == "completed" {
@@ -204,10 +113,10 @@
     let server = ModelServer::start(options, request_log.clone())
         .await
         .unwrap();
-    write_settings(&folder, &server);
+    write_settings(&folder, &server, BUDGET_TOKENS);
     let injection = Injection::new(&folder.path("state"), SEED, &rules()).unwrap();
     injection.arm(false).unwrap();
-    let (_program, address) = start_program(&folder, &injection);
+    let (_program, address) = start_program(&folder, injection.environment());
     // before any call fails, the server has to be in service and to have listed its models
     sleep(Duration::from_millis(500)).await;
     injection.arm(true).unwrap();
--- /dev/null
+++ b/tests/batch_memory.rs
@@ -0,0 +1,92 @@
+//! The memory of the program with the batch service stays below `memory_mb` whatever clients send.
+
+mod common;
+
+use std::time::Duration;
+
+use common::batch_program::*;
+use common::client::Client;
+use common::folder::Folder;
+use common::memory_peak::MemoryPeak;
+use common::process::Running;
+use fake_servers::{ModelServer, RequestLog, ServerOptions};
+use serde_json::Value;
+use tokio::time::{Instant, sleep};
+
+/// How long a batch whose budget is exhausted is watched.
+const WATCH_TIME: Duration = Duration::from_secs(5);
+const MAX_WAIT: Duration = Duration::from_secs(60);
+/// The text of a line, about 3,000 tokens.
+const LINE_TEXT_BYTES: usize = 12_000;
+/// Enough lines to exceed the memory limit if all of them are held in memory.
+const LINES: usize = 4_000;
+/// Enough for about ten lines.
+const SMALL_BUDGET_TOKENS: u64 = 30_000;
+
+/// The program with one model server.
+struct Fixture {
+    address: String,
+    memory: MemoryPeak,
+    _program: Running,
+    _server: ModelServer,
+    _folder: Folder,
+}
+
+impl Fixture {
+    async fn start(budget_tokens: u64) -> Fixture {
+        let folder = Folder::new();
+        let options = ServerOptions {
+            models: vec!["hint".into()],
+            ..ServerOptions::default()
+        };
+        let server = ModelServer::start(options, RequestLog::default())
+            .await
+            .unwrap();
+        write_settings(&folder, &server, budget_tokens);
+        let environment: [(&str, &str); 0] = [];
+        let (program, address) = start_program(&folder, environment);
+        Fixture {
+            address,
+            memory: MemoryPeak::watch(program.0.id()),
+            _program: program,
+            _server: server,
+            _folder: folder,
+        }
+    }
+}
+
+/// Waits until this number of the batch's lines have been completed.
+async fn wait_for_completed(client: &mut Client, batch_path: &str, count: u64) {
+    let start = Instant::now();
+    loop {
+        let batch: Value = request(client, "GET", batch_path, "", "").await.json();
+        if batch["request_counts"]["completed"].as_u64().unwrap() >= count {
+            return;
+        }
+        assert!(start.elapsed() < MAX_WAIT, "{batch}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against keeping every remaining line of a batch in memory once its budget is exhausted.
+#[tokio::test]
+async fn lines_over_budget_stay_in_spool() {
+    let fixture = Fixture::start(SMALL_BUDGET_TOKENS).await;
+    let text = "x".repeat(LINE_TEXT_BYTES);
+    let lines: String = (0..LINES).map(|k| line(&format!("p{k}"), &text)).collect();
+    let mut client = Client::new(&fixture.address).await;
+    let file = request(
+        &mut client,
+        "POST",
+        "/v1/files",
+        FORM_HEADERS,
+        &form(&lines),
+    )
+    .await;
+    let file_id = file.json()["id"].as_str().unwrap().to_string();
+    let batch_path = create_batch(&mut client, &file_id).await;
+    wait_for_completed(&mut client, &batch_path, 5).await;
+    sleep(WATCH_TIME).await;
+    let peak = fixture.memory.mib();
+    assert!(peak < MEMORY_LIMIT_MIB, "{peak} MiB");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 //! ([`peers`]).
 #![allow(dead_code)]
 
+pub mod batch_program;
 pub mod builders;
 pub mod bystander;
 pub mod client;
@@ -12,6 +13,7 @@
 pub mod folder;
 pub mod injected;
 pub mod low_memory;
+pub mod memory_peak;
 pub mod peers;
 pub mod persistent;
 pub mod platform;
--- a/tests/edge/main.rs
+++ b/tests/edge/main.rs
@@ -5,6 +5,7 @@
 mod common;
 
 mod adapters;
+mod batches;
 mod budgets;
 mod chat;
 mod config_errors;
@@ -12,6 +13,7 @@
 mod fallback;
 mod fixture;
 mod keys;
+mod postponed_lines;
 mod recovery;
 mod reload;
 mod revoked_key;
