A form upload that breaks off leaves no file in the store

Cause: when the connection ends, the future that reads the form is dropped, and the code that deletes its file stands behind an await of that future. The file stayed, incomplete and without a writer.

Evidence: each broken upload left one entry and one file of the spool (10 of 10 in the new test).

Ruled out: a lease that is not returned; a delete that fails (it was never called).

Change: a file that is being created is held by a reservation, which discards it when dropped unless it was finished or kept; also between table and spool, and while a write is in progress. This works wherever the future is dropped, as it needs no await.

--- a/src/batch/http_api/form.rs
+++ b/src/batch/http_api/form.rs
@@ -10,7 +10,7 @@
 use super::session::Session;
 use super::uploads::{DEFAULT_FILE_NAME, INPUT_PURPOSE, UPLOAD_STALL_TIMEOUT};
 use crate::api::ApiError;
-use crate::batch::store::{FileInfo, NewFile, Store, StoreError};
+use crate::batch::store::{FileInfo, FileReservation, NewFile, Store, StoreError};
 use crate::edge::Caller;
 use crate::net::http::{Body, Framing, Head, HttpError, is_safe_header_value};
 use crate::net::listener::ClientConnection;
@@ -79,27 +79,19 @@
     Ok(())
 }
 
-/// An upload of a file in a form.
+/// An upload of a file in a form. When dropped before it has succeeded, its file is discarded, as
+/// form uploads can't be resumed.
 struct FormUpload<'a> {
     store: &'a Store,
     owner: &'a Caller,
     /// The file, after it has been created in the store.
-    file: Option<FileInfo>,
+    file: Option<FileReservation>,
     purpose: Option<String>,
 }
 
 impl FormUpload<'_> {
-    /// Reads the form. If this fails, a file that was created is deleted, as form uploads can't be
-    /// resumed.
-    async fn read(mut self, form: Multipart<'_>) -> Result<FileInfo, ApiError> {
-        let result = self.read_fields(form).await;
-        if let (Err(_), Some(file)) = (&result, &self.file) {
-            let _ = self.store.remove(&file.id).await;
-        }
-        result
-    }
-
-    async fn read_fields(&mut self, mut form: Multipart<'_>) -> Result<FileInfo, ApiError> {
+    /// Reads the form to its end.
+    async fn read(mut self, mut form: Multipart<'_>) -> Result<FileInfo, ApiError> {
         while let Some(mut field) = form.next_field().await.map_err(malformed_form)? {
             if field.name() == Some("file") && self.file.is_none() {
                 self.receive_file(&mut field).await?;
@@ -113,12 +105,9 @@
         if self.purpose.as_deref() != Some(INPUT_PURPOSE) {
             return Err(ApiError::new(400, "purpose", "purpose must be batch"));
         }
-        let file = self.file.as_ref();
-        let id = &file
-            .ok_or_else(|| invalid_form("the form holds no file"))?
-            .id;
-        let end = self.store.info(id)?.bytes;
-        Ok(self.store.append(id, end).await?.finish()?)
+        let file = self.file;
+        let file = file.ok_or_else(|| invalid_form("the form holds no file"))?;
+        Ok(file.finish()?)
     }
 
     async fn receive_file(&mut self, field: &mut Field<'_>) -> Result<(), ApiError> {
@@ -129,9 +118,8 @@
             total_bytes: None,
             owner: self.owner,
         };
-        let info = self.store.create(new).await?;
-        let file = self.file.insert(info);
-        let mut appender = self.store.append(&file.id, 0).await?;
+        let file = self.file.insert(self.store.reserve(new)?);
+        let mut appender = file.create().await?;
         while let Some(bytes) = field.chunk().await.map_err(malformed_form)? {
             appender.write(&bytes).await?;
         }
--- a/src/batch/jobs/result_file.rs
+++ b/src/batch/jobs/result_file.rs
@@ -2,12 +2,22 @@
 
 use super::retry::{RetryState, SpoolRetrier};
 use crate::batch::line::LineOutcome;
-use crate::batch::store::{Appender, NewFile, Store, StoreError};
+use crate::batch::store::{Appender, FileReservation, NewFile, Store, StoreError};
 use crate::edge::Caller;
 
+/// Reserves the place of a batch's result file.
+fn reserve(store: &Store, batch_id: &str, owner: &Caller) -> Result<FileReservation, StoreError> {
+    store.reserve(NewFile {
+        name: &format!("{batch_id}_output.jsonl"),
+        purpose: "batch_output",
+        total_bytes: None,
+        owner,
+    })
+}
+
 /// The result file of a running batch. Failed operations are retried by its [`SpoolRetrier`].
 pub(super) struct ResultFile {
-    id: String,
+    reservation: FileReservation,
     appender: Appender,
     retrier: SpoolRetrier,
 }
@@ -19,29 +29,22 @@
         retrier: &SpoolRetrier,
         owner: &Caller,
     ) -> Result<ResultFile, StoreError> {
-        let name = format!("{}_output.jsonl", retrier.batch_id);
-        let new = NewFile {
-            name: &name,
-            purpose: "batch_output",
-            total_bytes: None,
-            owner,
-        };
         let mut retry = RetryState::new();
-        let info = loop {
-            match store.create(new).await {
-                Ok(info) => break info,
+        let reservation = loop {
+            match reserve(store, &retrier.batch_id, owner) {
+                Ok(reservation) => break reservation,
                 Err(e) => retrier.wait_to_retry(&mut retry, e).await?,
             }
         };
         let mut retry = RetryState::new();
         let appender = loop {
-            match store.append(&info.id, 0).await {
+            match reservation.create().await {
                 Ok(appender) => break appender,
                 Err(e) => retrier.wait_to_retry(&mut retry, e).await?,
             }
         };
         Ok(ResultFile {
-            id: info.id,
+            reservation,
             appender,
             retrier: retrier.clone(),
         })
@@ -59,7 +62,6 @@
 
     /// Marks the file as complete and returns its id.
     pub(super) fn finish(self) -> Result<String, StoreError> {
-        self.appender.finish()?;
-        Ok(self.id)
+        Ok(self.reservation.finish()?.id)
     }
 }
--- a/src/batch/store.rs
+++ b/src/batch/store.rs
@@ -4,6 +4,7 @@
 mod appender;
 mod error;
 mod file_info;
+mod reservation;
 mod table;
 
 use std::io;
@@ -22,6 +23,7 @@
 pub use appender::Appender;
 pub use error::StoreError;
 pub use file_info::{FileInfo, NewFile, StoredFile};
+pub use reservation::FileReservation;
 pub use table::StoreLimits;
 
 /// The file name extension of the files in the spool.
@@ -77,17 +79,17 @@
         self.table.limits.file_bytes
     }
 
+    /// Reserves the place of a file, if the limits allow it, without accessing the spool.
+    pub fn reserve(&self, new: NewFile<'_>) -> Result<FileReservation, StoreError> {
+        let info = self.table.add(new)?;
+        Ok(FileReservation::new(self.clone(), info))
+    }
+
     /// Creates an empty file.
     pub async fn create(&self, new: NewFile<'_>) -> Result<FileInfo, StoreError> {
-        let info = self.table.add(new)?;
-        let created = self
-            .open_for_writing(&info.id, |file_system, path| file_system.create(path))
-            .await;
-        if let Err(e) = created {
-            self.table.undo_add(&info.id);
-            return Err(e);
-        }
-        Ok(info)
+        let reservation = self.reserve(new)?;
+        reservation.create().await?;
+        Ok(reservation.keep())
     }
 
     /// The description of a file.
@@ -103,16 +105,21 @@
     /// Opens a file for appending. `offset` must be the current end of the file.
     pub async fn append(&self, id: &str, offset: u64) -> Result<Appender, StoreError> {
         self.table.lease(id, offset)?;
-        let lease = Arc::new(WriteLease {
-            table: self.table.clone(),
-            id: id.to_string(),
-        });
+        let lease = self.lease(id);
         let file = self
             .open_for_writing(id, |file_system, path| file_system.open(path))
             .await?;
         Ok(Appender { lease, file })
     }
 
+    /// The lease of a file that the table has marked as having a writer.
+    fn lease(&self, id: &str) -> Arc<WriteLease> {
+        Arc::new(WriteLease {
+            table: self.table.clone(),
+            id: id.to_string(),
+        })
+    }
+
     async fn open_for_writing(
         &self,
         id: &str,
--- a/src/batch/store/table.rs
+++ b/src/batch/store/table.rs
@@ -33,6 +33,14 @@
     last_number: u64,
 }
 
+impl State {
+    fn remove(&mut self, id: &str) {
+        if let Some(info) = self.files.remove(id) {
+            self.used_bytes -= info.bytes;
+        }
+    }
+}
+
 /// The table of files.
 pub(super) struct FileTable {
     pub(super) limits: StoreLimits,
@@ -62,7 +70,7 @@
         format!("{prefix}{hash:016x}{number:08x}")
     }
 
-    /// Adds an empty file, if the limits allow it.
+    /// Adds an empty file with a writer, if the limits allow it.
     pub(super) fn add(&self, new: NewFile<'_>) -> Result<FileInfo, StoreError> {
         let max_bytes = self.limits.file_bytes;
         if new.total_bytes.is_some_and(|total| total > max_bytes) {
@@ -86,15 +94,15 @@
             is_complete: false,
             created_at: unix_seconds(),
             owner: new.owner.clone(),
-            is_leased: false,
+            is_leased: true,
         };
         state.files.insert(id, info.clone());
         Ok(info)
     }
 
-    /// Removes the entry of a file that could not be created.
-    pub(super) fn undo_add(&self, id: &str) {
-        self.lock().files.remove(id);
+    /// Removes a file even if it has a writer, and frees its space. Further writes fail.
+    pub(super) fn discard(&self, id: &str) {
+        self.lock().remove(id);
     }
 
     /// Removes a file that has no writer, and frees its space.
@@ -103,9 +111,7 @@
         if state.files.get(id).ok_or(StoreError::Unknown)?.is_leased {
             return Err(StoreError::Busy);
         }
-        if let Some(info) = state.files.remove(id) {
-            state.used_bytes -= info.bytes;
-        }
+        state.remove(id);
         Ok(())
     }
 
@@ -158,12 +164,13 @@
         Ok(info.bytes)
     }
 
-    /// Adds bytes that were written at the end of a file to its size.
+    /// Adds bytes that were written at the end of a file to its size. A file that was discarded
+    /// during the write uses no space.
     pub(super) fn add_bytes(&self, id: &str, count: u64) {
         let mut state = self.lock();
-        state.used_bytes += count;
         if let Some(info) = state.files.get_mut(id) {
             info.bytes += count;
+            state.used_bytes += count;
         }
     }
 
--- a/src/batch/store/tests.rs
+++ b/src/batch/store/tests.rs
@@ -138,3 +138,36 @@
         .expect("the write did not complete after its caller was dropped");
     assert_eq!(store.table.used_bytes(), 4);
 }
+
+/// Guards against a file that keeps its place in the store when its creation is given up while a
+/// write is in progress.
+#[tokio::test]
+async fn dropped_reservation_leaves_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let disk = FailingDisk::default();
+    let store = store(folder.path(), &disk);
+    let new = NewFile {
+        name: "a",
+        purpose: "batch",
+        total_bytes: None,
+        owner: &Caller::default(),
+    };
+    let reservation = store.reserve(new).unwrap();
+    let mut appender = reservation.create().await.unwrap();
+    appender.write(b"first").await.unwrap();
+    disk.block_writes(true);
+    assert!(futures_util::FutureExt::now_or_never(appender.write(b"late")).is_none());
+    drop((appender, reservation));
+    assert!(store.list().is_empty());
+    disk.block_writes(false);
+    let files = || std::fs::read_dir(folder.path()).unwrap().count();
+    let removed = async {
+        while files() > 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(30), removed)
+        .await
+        .expect("the file was not removed from the spool");
+    assert_eq!(store.table.used_bytes(), 0);
+}
--- a/tests/batch/service.rs
+++ b/tests/batch/service.rs
@@ -54,14 +54,20 @@
     request(client, "GET", path, "", "").await
 }
 
-/// Uploads a file in a form. Returns the file's object.
-pub async fn upload(client: &mut Client, text: &str) -> Value {
-    let body = format!(
+/// The headers of a request with a form.
+pub const FORM_HEADERS: &str = "Content-Type: multipart/form-data; boundary=XX\r\n";
+
+/// A form with a file.
+pub fn form(text: &str) -> String {
+    format!(
         "--XX\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n--XX\r\n\
          Content-Disposition: form-data; name=\"file\"; filename=\"set.jsonl\"\r\n\r\n{text}\r\n--XX--\r\n"
-    );
-    let headers = "Content-Type: multipart/form-data; boundary=XX\r\n";
-    let got = request(client, "POST", "/v1/files", headers, &body).await;
+    )
+}
+
+/// Uploads a file in a form. Returns the file's object.
+pub async fn upload(client: &mut Client, text: &str) -> Value {
+    let got = request(client, "POST", "/v1/files", FORM_HEADERS, &form(text)).await;
     assert_eq!(got.head.status, 200, "{got:?}");
     got.json()
 }
--- a/tests/batch/uploads.rs
+++ b/tests/batch/uploads.rs
@@ -7,7 +7,9 @@
 
 use crate::common::folder::Folder;
 use crate::common::peers::{Client, Got, answer, config, peer};
-use crate::service::{create, custom_id, get, lines, request, start_router, wait_for_end};
+use crate::service::{
+    FORM_HEADERS, create, custom_id, form, get, lines, request, start_router, upload, wait_for_end,
+};
 
 const CREATE: &str = "/v1/uploads?filename=set.jsonl";
 
@@ -108,3 +110,42 @@
     }
     assert_eq!(client.answer().await.unwrap().head.status, 204);
 }
+
+/// How many clients break off an upload in each place.
+const BROKEN_UPLOADS: usize = 5;
+
+/// Guards against files of form uploads that broke off: they can't be resumed, and would fill the
+/// store.
+#[tokio::test]
+async fn broken_form_leaves_no_file() {
+    let folder = Folder::new();
+    let router = start_router(config(&[], None), &folder).await;
+    let form = form(&lines(400));
+    let after_file = form.len() - 4;
+    for sent in [form.len() / 2, after_file].repeat(BROKEN_UPLOADS) {
+        let mut client = Client::new(&router.batch).await;
+        let head = format!(
+            "POST /v1/files HTTP/1.1\r\n{FORM_HEADERS}Content-Length: {}\r\n\r\n",
+            form.len()
+        );
+        client.send(head.as_bytes()).await;
+        client.send(&form.as_bytes()[..sent]).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    let mut client = Client::new(&router.batch).await;
+    let kept = upload(&mut client, &lines(1)).await;
+    let start = Instant::now();
+    loop {
+        let files = get(&mut client, "/v1/files").await.json();
+        let stored = std::fs::read_dir(folder.path("spool")).unwrap().count();
+        if files["data"].as_array().unwrap().len() == 1 && stored == 1 {
+            assert_eq!(files["data"][0]["id"], kept["id"]);
+            return;
+        }
+        assert!(
+            start.elapsed() < Duration::from_secs(10),
+            "{stored} stored, {files}"
+        );
+        sleep(Duration::from_millis(20)).await;
+    }
+}
