A batch is accepted only if its result file has a place in the store

Cause: the worker created the result file after the batch had been accepted, and waited for a place until the batch's window ended.

Ruled out: writes to a spool without space: they are retried, and resume when files are deleted (batch_resumes_after_files_deleted).

Change: creating a batch reserves its result file; without a place it is rejected with 507 and Retry-After. The file is created in the spool as before, with retries.

--- a/src/batch/http_api/errors.rs
+++ b/src/batch/http_api/errors.rs
@@ -65,7 +65,7 @@
             JobError::Ended => ApiError::new(409, None, message),
             JobError::Full => ApiError::new(429, None, message),
             JobError::File(StoreError::Unknown) => ApiError::new(404, "input_file_id", message),
-            JobError::File(e @ StoreError::Io(_)) => e.into(),
+            JobError::File(e @ StoreError::Io(_)) | JobError::Result(e) => e.into(),
             JobError::File(_) => ApiError::new(400, "input_file_id", message),
         }
     }
--- a/src/batch/jobs.rs
+++ b/src/batch/jobs.rs
@@ -64,11 +64,13 @@
         }
     }
 
-    /// Creates a batch and starts it; returns its object.
+    /// Creates a batch and starts it; returns its object. A batch whose result file has no place in
+    /// the store is not accepted.
     pub async fn create(&self, new: NewBatch) -> Result<Value, JobError> {
         let store = &self.context.store;
         let input = store.read(&new.input_file).await.map_err(JobError::File)?;
         let id = store.fresh_id("batch_");
+        let reservation = result_file::reserve(store, &id, &new.owner).map_err(JobError::Result)?;
         let (cancel, cancelled) = watch::channel(false);
         let number = self.created.fetch_add(1, Ordering::Relaxed);
         let expires_at = Instant::now() + new.completion_window.duration;
@@ -92,7 +94,7 @@
         let max_batches = self.context.options.max_batches;
         self.table.insert(batch, max_batches)?;
         let input = InputFile::new(input).await;
-        tokio::spawn(worker.run(input));
+        tokio::spawn(worker.run(input, reservation));
         Ok(object)
     }
 
--- a/src/batch/jobs/error.rs
+++ b/src/batch/jobs/error.rs
@@ -19,4 +19,7 @@
     /// The batch's input file can't be read.
     #[error("the input file: {0}")]
     File(#[source] StoreError),
+    /// The batch's result file has no place in the store.
+    #[error("the result file: {0}")]
+    Result(#[source] StoreError),
 }
--- a/src/batch/jobs/result_file.rs
+++ b/src/batch/jobs/result_file.rs
@@ -6,7 +6,11 @@
 use crate::edge::Caller;
 
 /// Reserves the place of a batch's result file.
-fn reserve(store: &Store, batch_id: &str, owner: &Caller) -> Result<FileReservation, StoreError> {
+pub(super) fn reserve(
+    store: &Store,
+    batch_id: &str,
+    owner: &Caller,
+) -> Result<FileReservation, StoreError> {
     store.reserve(NewFile {
         name: &format!("{batch_id}_output.jsonl"),
         purpose: "batch_output",
@@ -25,17 +29,9 @@
 impl ResultFile {
     /// Creates the result file for the batch that `retrier` belongs to.
     pub(super) async fn create(
-        store: &Store,
+        reservation: FileReservation,
         retrier: &SpoolRetrier,
-        owner: &Caller,
     ) -> Result<ResultFile, StoreError> {
-        let mut retry = RetryState::new();
-        let reservation = loop {
-            match reserve(store, &retrier.batch_id, owner) {
-                Ok(reservation) => break reservation,
-                Err(e) => retrier.wait_to_retry(&mut retry, e).await?,
-            }
-        };
         let mut retry = RetryState::new();
         let appender = loop {
             match reservation.create().await {
--- a/src/batch/jobs/worker.rs
+++ b/src/batch/jobs/worker.rs
@@ -14,7 +14,7 @@
 use super::stop::StopReason;
 use super::table::BatchTable;
 use crate::batch::line::LineOutcome;
-use crate::batch::store::StoreError;
+use crate::batch::store::{FileReservation, StoreError};
 use crate::edge::Caller;
 
 /// The worker of a batch.
@@ -31,9 +31,9 @@
 }
 
 impl BatchWorker {
-    /// Runs the batch to its end.
-    pub(super) async fn run(self, input: InputFile) {
-        let (status, failure) = match self.process(input).await {
+    /// Runs the batch to its end. `reservation`: the place of its result file.
+    pub(super) async fn run(self, input: InputFile, reservation: FileReservation) {
+        let (status, failure) = match self.process(input, reservation).await {
             Ok(None) => (BatchStatus::Completed, None),
             Ok(Some(StopReason::Cancelled)) => (BatchStatus::Cancelled, None),
             Ok(Some(StopReason::Expired)) => (BatchStatus::Expired, None),
@@ -56,13 +56,16 @@
 
     /// Counts the lines and runs them. If the batch stops before all lines have been run, returns
     /// the reason.
-    async fn process(&self, input: InputFile) -> Result<Option<StopReason>, BatchFailure> {
+    async fn process(
+        &self,
+        input: InputFile,
+        reservation: FileReservation,
+    ) -> Result<Option<StopReason>, BatchFailure> {
         let max_line_bytes = self.context.options.max_line_bytes;
         let total = self
             .count_lines(&mut LineReader::new(input.clone(), max_line_bytes))
             .await?;
-        let store = &self.context.store;
-        let mut result = ResultFile::create(store, &self.retrier, &self.owner).await?;
+        let mut result = ResultFile::create(reservation, &self.retrier).await?;
         self.update(|batch| {
             batch.lines.total = total;
             if batch.status == BatchStatus::Validating {
