Uploads that nobody continues make room in a full store

Cause: an incomplete upload has no end of life.

Ruled out: deleting it when its connection breaks; resuming it is what it is for.

Change: when the store is full, incomplete files without a writer for an hour are deleted. Uploads that are being written, and complete files, are not touched.

Measured: abandoned_uploads_make_room passes; before, nothing ever removed such a file.

--- a/src/batch/store.rs
+++ b/src/batch/store.rs
@@ -10,9 +10,12 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Instant;
 
 use tokio::fs::File;
+use tokio::runtime::Handle;
 use tokio::task::spawn_blocking;
+use tracing::info;
 
 use crate::storage::{Disk, FileSystem, OpenFile};
 use crate::system_call::retry_on_interrupt;
@@ -79,12 +82,41 @@
         self.table.limits.file_bytes
     }
 
-    /// Reserves the place of a file, if the limits allow it, without accessing the spool.
+    /// Reserves the place of a file, if the limits allow it, without waiting for the spool. If the
+    /// store is full, uploads that have probably been given up are deleted.
     pub fn reserve(&self, new: NewFile<'_>) -> Result<FileReservation, StoreError> {
-        let info = self.table.add(new)?;
+        self.reserve_at(new, Instant::now())
+    }
+
+    fn reserve_at(&self, new: NewFile<'_>, now: Instant) -> Result<FileReservation, StoreError> {
+        let info = match self.table.add(new) {
+            Err(StoreError::Full) => {
+                self.remove_abandoned(now);
+                self.table.add(new)?
+            }
+            added => added?,
+        };
         Ok(FileReservation::new(self.clone(), info))
     }
 
+    fn remove_abandoned(&self, now: Instant) {
+        for id in self.table.remove_abandoned(now) {
+            info!("{id}: deleting an incomplete upload that nobody has continued");
+            self.remove_in_background(&id);
+        }
+    }
+
+    /// Removes a file from the spool without waiting. A file that does not exist, or that can't be
+    /// removed, uses no place in the table.
+    fn remove_in_background(&self, id: &str) {
+        let path = self.path(id);
+        let remove = move || drop(std::fs::remove_file(path));
+        match Handle::try_current() {
+            Ok(runtime) => drop(runtime.spawn_blocking(remove)),
+            Err(_) => remove(),
+        }
+    }
+
     /// Creates an empty file.
     pub async fn create(&self, new: NewFile<'_>) -> Result<FileInfo, StoreError> {
         let reservation = self.reserve(new)?;
--- a/src/batch/store/file_info.rs
+++ b/src/batch/store/file_info.rs
@@ -1,5 +1,7 @@
 //! Types for creating, describing and reading stored files.
 
+use std::time::{Duration, Instant};
+
 use serde_json::{Value, json};
 use tokio::fs::File;
 
@@ -50,9 +52,19 @@
     pub owner: Caller,
     /// Whether the file has a writer.
     pub(super) is_leased: bool,
+    /// When the file was created or last had a writer.
+    pub(super) last_active: Instant,
 }
 
+/// An incomplete file may be deleted after this time without a writer.
+const ABANDONED_AFTER: Duration = Duration::from_secs(3600);
+
 impl FileInfo {
+    /// Whether the file is incomplete, and its upload has probably been given up.
+    pub(super) fn is_abandoned(&self, now: Instant) -> bool {
+        !self.is_complete && !self.is_leased && now >= self.last_active + ABANDONED_AFTER
+    }
+
     /// The API's file object.
     pub fn object(&self) -> Value {
         let status = if self.is_complete {
--- a/src/batch/store/reservation.rs
+++ b/src/batch/store/reservation.rs
@@ -1,11 +1,8 @@
 //! Files that are being created. A file whose creation does not succeed leaves nothing behind, even
 //! if the future that creates it is dropped.
 
-use std::path::Path;
 use std::sync::Arc;
 
-use tokio::runtime::Handle;
-
 use super::appender::WriteLease;
 use super::{Appender, FileInfo, Store, StoreError};
 
@@ -39,7 +36,7 @@
                 let file = file_system.create(path)?;
                 if table.info(&id).is_err() {
                     // the reservation was dropped in the meantime
-                    remove_file(path);
+                    let _ = std::fs::remove_file(path);
                 }
                 Ok(file)
             })
@@ -69,16 +66,6 @@
             return;
         }
         self.store.table.discard(&self.info.id);
-        let path = self.store.path(&self.info.id);
-        match Handle::try_current() {
-            Ok(runtime) => drop(runtime.spawn_blocking(move || remove_file(&path))),
-            Err(_) => remove_file(&path),
-        }
+        self.store.remove_in_background(&self.info.id);
     }
 }
-
-/// Removes a file of the spool. A file that does not exist, or that can't be removed, uses no place
-/// in the table.
-fn remove_file(path: &Path) {
-    let _ = std::fs::remove_file(path);
-}
--- a/src/batch/store/table.rs
+++ b/src/batch/store/table.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use super::error::StoreError;
 use super::file_info::{FileInfo, NewFile};
@@ -95,6 +96,7 @@
             created_at: unix_seconds(),
             owner: new.owner.clone(),
             is_leased: true,
+            last_active: Instant::now(),
         };
         state.files.insert(id, info.clone());
         Ok(info)
@@ -105,6 +107,17 @@
         self.lock().remove(id);
     }
 
+    /// Removes the files whose uploads have probably been given up; returns their ids.
+    pub(super) fn remove_abandoned(&self, now: Instant) -> Vec<String> {
+        let mut state = self.lock();
+        let abandoned = state.files.values().filter(|info| info.is_abandoned(now));
+        let ids: Vec<String> = abandoned.map(|info| info.id.clone()).collect();
+        for id in &ids {
+            state.remove(id);
+        }
+        ids
+    }
+
     /// Removes a file that has no writer, and frees its space.
     pub(super) fn remove(&self, id: &str) -> Result<(), StoreError> {
         let mut state = self.lock();
@@ -146,6 +159,7 @@
     pub(super) fn end_lease(&self, id: &str) {
         if let Some(info) = self.lock().files.get_mut(id) {
             info.is_leased = false;
+            info.last_active = Instant::now();
         }
     }
 
--- a/src/batch/store/tests.rs
+++ b/src/batch/store/tests.rs
@@ -171,3 +171,32 @@
         .expect("the file was not removed from the spool");
     assert_eq!(store.table.used_bytes(), 0);
 }
+
+/// Guards against uploads that nobody continues and that fill the store.
+#[tokio::test]
+async fn abandoned_uploads_make_room() {
+    let folder = tempfile::tempdir().unwrap();
+    let store = store(folder.path(), &FailingDisk::default());
+    let kept = create(&store, Some(0)).await;
+    store.append(&kept.id, 0).await.unwrap().finish().unwrap();
+    let written = create(&store, Some(9)).await;
+    let _appender = store.append(&written.id, 0).await.unwrap();
+    for _ in 2..LIMITS.files {
+        create(&store, Some(9)).await;
+    }
+    let new = NewFile {
+        name: "a",
+        purpose: "batch",
+        total_bytes: None,
+        owner: &Caller::default(),
+    };
+    let now = Instant::now();
+    assert!(matches!(
+        store.reserve_at(new, now + Duration::from_secs(3500)),
+        Err(StoreError::Full)
+    ));
+    let later = now + Duration::from_secs(3700);
+    let reservation = store.reserve_at(new, later).unwrap();
+    let ids: Vec<String> = store.list().into_iter().map(|info| info.id).collect();
+    assert_eq!(ids, [reservation.keep().id, written.id, kept.id]);
+}
