An upload whose connection breaks after its last byte is complete

Callers saw: an upload at its full length that no batch could use, until an empty part was sent.

Cause: append_upload returned at the connection's error ahead of the check of the length. A body of chunks can break between the last byte of content and the last chunk.

Ruled out: bodies with a Content-Length end with their last byte.

Change: the length is checked however the body ended.

Measured: upload_cut_after_last_byte_is_complete failed before (not complete after 10 s) and passes.

--- a/src/batch/http_api/uploads.rs
+++ b/src/batch/http_api/uploads.rs
@@ -9,7 +9,7 @@
 use super::routes::method_not_allowed;
 use super::session::Session;
 use crate::api::{ApiError, Reply};
-use crate::batch::store::{FileInfo, NewFile, StoreError};
+use crate::batch::store::{Appender, FileInfo, NewFile, StoreError};
 use crate::net::http::{Body, Head};
 
 /// The connection of an upload is considered failed after this time without a byte. The bytes that
@@ -118,6 +118,21 @@
         let context = self.context.clone();
         let mut appender = context.store.append(id, offset).await?;
         self.connection.send_continue(head).await?;
+        let received = self.receive_upload(body, &mut appender).await;
+        // the connection may have ended after the last byte of the upload
+        let mut info = context.store.info(id)?;
+        if info.total_bytes == Some(info.bytes) {
+            info = appender.finish()?;
+        }
+        received?;
+        Ok(Reply::empty(204, offset_headers(&info)))
+    }
+
+    async fn receive_upload(
+        &mut self,
+        body: &mut Body,
+        appender: &mut Appender,
+    ) -> Result<(), RequestError> {
         while let Some(bytes) = self
             .connection
             .receive_upload_part(body, UPLOAD_STALL_TIMEOUT)
@@ -125,11 +140,7 @@
         {
             appender.write(&bytes).await?;
         }
-        let mut info = context.store.info(id)?;
-        if info.total_bytes == Some(info.bytes) {
-            info = appender.finish()?;
-        }
-        Ok(Reply::empty(204, offset_headers(&info)))
+        Ok(())
     }
 }
 
--- a/tests/batch/uploads.rs
+++ b/tests/batch/uploads.rs
@@ -149,3 +149,30 @@
         sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against an upload that has all its bytes and never becomes a file, because its connection
+/// broke before the end of the last chunked body.
+#[tokio::test]
+async fn upload_cut_after_last_byte_is_complete() {
+    let folder = Folder::new();
+    let router = start_router(config(&[], None), &folder).await;
+    let text = lines(1);
+    let mut client = Client::new(&router.batch).await;
+    let length = format!("Upload-Length: {}\r\n", text.len());
+    let created = request(&mut client, "POST", CREATE, &length, "").await;
+    let path = created.head.get("location").unwrap().to_string();
+    let part = format!(
+        "PATCH {path} HTTP/1.1\r\nUpload-Offset: 0\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{text}\r\n",
+        text.len()
+    );
+    client.send(part.as_bytes()).await;
+    sleep(Duration::from_millis(100)).await;
+    drop(client);
+    let mut client = Client::new(&router.batch).await;
+    let file_path = path.replace("/v1/uploads", "/v1/files");
+    let start = Instant::now();
+    while get(&mut client, &file_path).await.json()["status"] != "processed" {
+        assert!(start.elapsed() < Duration::from_secs(10));
+        sleep(Duration::from_millis(20)).await;
+    }
+}
