A result file may be larger than an uploaded file may be

Cause: a file without an announced length had the limit of one uploaded file, results included.

Ruled out: the retries: TooLarge is final by design.

Change: NewFile says how large the file may become; a result is bounded by the space of the store alone, whose end is waited for.

Measured: result_may_exceed_file_limit failed before ("the file may hold 48 bytes at most") and passes.

--- a/src/batch/http_api/form.rs
+++ b/src/batch/http_api/form.rs
@@ -10,7 +10,7 @@
 use super::session::Session;
 use super::uploads::{DEFAULT_FILE_NAME, INPUT_PURPOSE, UPLOAD_STALL_TIMEOUT};
 use crate::api::ApiError;
-use crate::batch::store::{FileInfo, FileReservation, NewFile, Store, StoreError};
+use crate::batch::store::{FileInfo, FileReservation, FileSize, NewFile, Store, StoreError};
 use crate::edge::Caller;
 use crate::net::http::{Body, Framing, Head, HttpError, is_safe_header_value};
 use crate::net::listener::ClientConnection;
@@ -115,7 +115,7 @@
         let new = NewFile {
             name: name.unwrap_or(DEFAULT_FILE_NAME),
             purpose: INPUT_PURPOSE,
-            total_bytes: None,
+            size: FileSize::Limited,
             owner: self.owner,
         };
         let file = self.file.insert(self.store.reserve(new)?);
--- a/src/batch/http_api/uploads.rs
+++ b/src/batch/http_api/uploads.rs
@@ -9,7 +9,7 @@
 use super::routes::method_not_allowed;
 use super::session::Session;
 use crate::api::{ApiError, Reply};
-use crate::batch::store::{Appender, FileInfo, NewFile, StoreError};
+use crate::batch::store::{Appender, FileInfo, FileSize, NewFile, StoreError};
 use crate::net::http::{Body, Head};
 
 /// The connection of an upload is considered failed after this time without a byte. The bytes that
@@ -92,7 +92,7 @@
         let new = NewFile {
             name,
             purpose: INPUT_PURPOSE,
-            total_bytes: Some(total),
+            size: FileSize::Announced(total),
             owner: &self.caller,
         };
         let info = store.create(new).await?;
--- a/src/batch/jobs/result_file.rs
+++ b/src/batch/jobs/result_file.rs
@@ -2,7 +2,7 @@
 
 use super::retry::{RetryState, SpoolRetrier};
 use crate::batch::line::LineOutcome;
-use crate::batch::store::{Appender, FileReservation, NewFile, Store, StoreError};
+use crate::batch::store::{Appender, FileReservation, FileSize, NewFile, Store, StoreError};
 use crate::edge::Caller;
 
 /// Reserves the place of a batch's result file.
@@ -14,7 +14,7 @@
     store.reserve(NewFile {
         name: &format!("{batch_id}_output.jsonl"),
         purpose: "batch_output",
-        total_bytes: None,
+        size: FileSize::Unlimited,
         owner,
     })
 }
--- a/src/batch/jobs/tests.rs
+++ b/src/batch/jobs/tests.rs
@@ -141,3 +141,21 @@
         .collect();
     assert_eq!(listed, [second.as_str(), first.as_str()]);
 }
+
+/// Guards against a batch that loses outcomes because they are longer than its input may be.
+#[tokio::test]
+async fn result_may_exceed_file_limit() {
+    let folder = tempfile::tempdir().unwrap();
+    let file_bytes = (INPUT_LINE.len() * LINES) as u64;
+    let fixture = JobsFixture::new(
+        folder.path(),
+        StoreLimits {
+            file_bytes,
+            ..LIMITS
+        },
+    );
+    let id = fixture.start().await;
+    let batch = fixture.wait_for_end(&id).await;
+    assert_eq!(batch["status"], "completed", "{batch}");
+    assert_eq!(fixture.outcomes(&batch).await.len(), LINES);
+}
--- a/src/batch/store.rs
+++ b/src/batch/store.rs
@@ -25,7 +25,7 @@
 
 pub use appender::Appender;
 pub use error::StoreError;
-pub use file_info::{FileInfo, NewFile, StoredFile};
+pub use file_info::{FileInfo, FileSize, NewFile, StoredFile};
 pub use reservation::FileReservation;
 pub use table::StoreLimits;
 
@@ -77,7 +77,7 @@
         self.dir.join(format!("{id}.{FILE_EXTENSION}"))
     }
 
-    /// The maximum size of a file, in bytes.
+    /// The maximum size of an uploaded file, in bytes.
     pub fn max_file_bytes(&self) -> u64 {
         self.table.limits.file_bytes
     }
--- a/src/batch/store/file_info.rs
+++ b/src/batch/store/file_info.rs
@@ -7,6 +7,28 @@
 
 use crate::edge::Caller;
 
+/// How large a file may become.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FileSize {
+    /// Exactly this number of bytes, which the upload announced.
+    Announced(u64),
+    /// Up to the limit for the size of one file.
+    Limited,
+    /// Up to the space of the store. The size of a result depends on the answers, which the client
+    /// of the batch does not control.
+    Unlimited,
+}
+
+impl FileSize {
+    /// The announced number of bytes.
+    pub fn announced(self) -> Option<u64> {
+        match self {
+            FileSize::Announced(bytes) => Some(bytes),
+            FileSize::Limited | FileSize::Unlimited => None,
+        }
+    }
+}
+
 /// A file to be created.
 #[derive(Clone, Copy, Debug)]
 pub struct NewFile<'a> {
@@ -14,8 +36,8 @@
     pub name: &'a str,
     /// The purpose in the API's file object.
     pub purpose: &'a str,
-    /// The total length in bytes, if the upload announced it.
-    pub total_bytes: Option<u64>,
+    /// How large the file may become.
+    pub size: FileSize,
     /// The caller that creates the file.
     pub owner: &'a Caller,
 }
@@ -44,6 +66,8 @@
     pub bytes: u64,
     /// The total length in bytes, if the upload announced it.
     pub total_bytes: Option<u64>,
+    /// The maximum size in bytes.
+    pub(super) max_bytes: u64,
     /// Whether the file has been written completely.
     pub is_complete: bool,
     /// The time of creation: Unix time in seconds.
--- a/src/batch/store/table.rs
+++ b/src/batch/store/table.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use super::error::StoreError;
-use super::file_info::{FileInfo, NewFile};
+use super::file_info::{FileInfo, FileSize, NewFile};
 use crate::batch::wall_clock::unix_seconds;
 
 /// The maximum length of a stored file name in characters. Longer names are cut off.
@@ -17,7 +17,7 @@
 /// The limits of a store.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreLimits {
-    /// The maximum size of one file in bytes.
+    /// The maximum size of one uploaded file in bytes.
     pub file_bytes: u64,
     /// The maximum total size of all files in bytes.
     pub spool_bytes: u64,
@@ -71,12 +71,21 @@
         format!("{prefix}{hash:016x}{number:08x}")
     }
 
-    /// Adds an empty file with a writer, if the limits allow it.
-    pub(super) fn add(&self, new: NewFile<'_>) -> Result<FileInfo, StoreError> {
+    fn max_bytes(&self, size: FileSize) -> Result<u64, StoreError> {
         let max_bytes = self.limits.file_bytes;
-        if new.total_bytes.is_some_and(|total| total > max_bytes) {
-            return Err(StoreError::TooLarge { max_bytes });
+        match size {
+            FileSize::Announced(bytes) if bytes > max_bytes => {
+                Err(StoreError::TooLarge { max_bytes })
+            }
+            FileSize::Announced(bytes) => Ok(bytes),
+            FileSize::Limited => Ok(max_bytes),
+            FileSize::Unlimited => Ok(u64::MAX),
         }
+    }
+
+    /// Adds an empty file with a writer, if the limits allow it.
+    pub(super) fn add(&self, new: NewFile<'_>) -> Result<FileInfo, StoreError> {
+        let max_bytes = self.max_bytes(new.size)?;
         let id = self.fresh_id("file-");
         let mut state = self.lock();
         let has_capacity =
@@ -91,7 +100,8 @@
             name: name.take(MAX_NAME_CHARS).collect(),
             purpose: new.purpose.to_string(),
             bytes: 0,
-            total_bytes: new.total_bytes,
+            total_bytes: new.size.announced(),
+            max_bytes,
             is_complete: false,
             created_at: unix_seconds(),
             owner: new.owner.clone(),
@@ -168,8 +178,8 @@
         let state = self.lock();
         let available = self.limits.spool_bytes.saturating_sub(state.used_bytes);
         let info = state.files.get(id).ok_or(StoreError::Unknown)?;
-        let max_bytes = info.total_bytes.unwrap_or(self.limits.file_bytes);
-        if info.bytes + count > max_bytes {
+        if info.bytes + count > info.max_bytes {
+            let max_bytes = info.max_bytes;
             return Err(StoreError::TooLarge { max_bytes });
         }
         if count > available {
--- a/src/batch/store/tests.rs
+++ b/src/batch/store/tests.rs
@@ -19,11 +19,11 @@
     Store::open_on(folder, LIMITS, Arc::new(disk.clone())).unwrap()
 }
 
-async fn create(store: &Store, total_bytes: Option<u64>) -> FileInfo {
+async fn create(store: &Store, size: FileSize) -> FileInfo {
     let new = NewFile {
         name: "a",
         purpose: "batch",
-        total_bytes,
+        size,
         owner: &Caller::default(),
     };
     store.create(new).await.unwrap()
@@ -55,7 +55,7 @@
     let folder = tempfile::tempdir().unwrap();
     let disk = FailingDisk::default();
     let store = store(folder.path(), &disk);
-    let info = create(&store, Some(9)).await;
+    let info = create(&store, FileSize::Announced(9)).await;
     let mut appender = store.append(&info.id, 0).await.unwrap();
     appender.write(b"one").await.unwrap();
     // both the write and the truncation to the recorded size fail
@@ -88,7 +88,7 @@
     let folder = tempfile::tempdir().unwrap();
     let disk = FailingDisk::default();
     let store = store(folder.path(), &disk);
-    let info = create(&store, None).await;
+    let info = create(&store, FileSize::Limited).await;
     let mut appender = store.append(&info.id, 0).await.unwrap();
     disk.fail_next([Fault::HalfThenError(Errno::NOSPC)]);
     appender.write(b"xxxxxx").await.unwrap_err();
@@ -102,7 +102,7 @@
     let store = store(folder.path(), &disk);
     let interrupted = Fault::Error(Errno::INTR);
     disk.fail_next([interrupted]);
-    let info = create(&store, None).await;
+    let info = create(&store, FileSize::Limited).await;
     disk.fail_next([interrupted]);
     let mut appender = store.append(&info.id, 0).await.unwrap();
     disk.fail_next([Fault::Short, interrupted, Fault::Short, Fault::Short]);
@@ -116,7 +116,7 @@
     let folder = tempfile::tempdir().unwrap();
     let disk = FailingDisk::default();
     let store = store(folder.path(), &disk);
-    let info = create(&store, None).await;
+    let info = create(&store, FileSize::Limited).await;
     let mut appender = store.append(&info.id, 0).await.unwrap();
     disk.block_writes(true);
     let write = appender.write(b"late");
@@ -149,7 +149,7 @@
     let new = NewFile {
         name: "a",
         purpose: "batch",
-        total_bytes: None,
+        size: FileSize::Limited,
         owner: &Caller::default(),
     };
     let reservation = store.reserve(new).unwrap();
@@ -177,17 +177,17 @@
 async fn abandoned_uploads_make_room() {
     let folder = tempfile::tempdir().unwrap();
     let store = store(folder.path(), &FailingDisk::default());
-    let kept = create(&store, Some(0)).await;
+    let kept = create(&store, FileSize::Announced(0)).await;
     store.append(&kept.id, 0).await.unwrap().finish().unwrap();
-    let written = create(&store, Some(9)).await;
+    let written = create(&store, FileSize::Announced(9)).await;
     let _appender = store.append(&written.id, 0).await.unwrap();
     for _ in 2..LIMITS.files {
-        create(&store, Some(9)).await;
+        create(&store, FileSize::Announced(9)).await;
     }
     let new = NewFile {
         name: "a",
         purpose: "batch",
-        total_bytes: None,
+        size: FileSize::Limited,
         owner: &Caller::default(),
     };
     let now = Instant::now();
