A body that holds no form is rejected once it exceeds the bound of its fields

Cause: the parser of forms keeps what it can't interpret yet. The bound for what is not the file was applied to the text of a field only, not to what comes ahead of the first boundary or to heads.

Evidence: 300 such clients of 8 MB had no answer within 60 s, in each of three kinds of body.

Ruled out: the file's content (streamed); bodies of other calls (256 KiB, counted).

Change: the parser's input counts what is not the file's content and ends with an error above 64 KiB, whatever the framing. It hands out one part at a time, so that each is interpreted before the next is counted. Parts are 16 KiB, and one waits: hundreds of uploads may run at once.

--- a/src/batch/http_api/form.rs
+++ b/src/batch/http_api/form.rs
@@ -1,12 +1,14 @@
 //! `POST /v1/files`: uploads a file in a multipart form. The file is streamed to the spool.
 
-use std::io;
+use std::error::Error;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use multer::{Field, Multipart};
 use tokio::sync::mpsc;
 
 use super::errors::RequestError;
+use super::form_input::{FormInput, FormUsage};
 use super::session::Session;
 use super::uploads::{DEFAULT_FILE_NAME, INPUT_PURPOSE, UPLOAD_STALL_TIMEOUT};
 use crate::api::ApiError;
@@ -17,8 +19,9 @@
 
 /// The maximum number of bytes in a form excluding its file, and in a single text field.
 const MAX_FIELD_BYTES: usize = 64 << 10;
-/// The maximum number of received parts of the body that wait to be parsed.
-const MAX_BUFFERED_PARTS: usize = 4;
+/// The maximum number of received parts of the body that wait to be parsed. There may be hundreds of
+/// uploads at once.
+const MAX_BUFFERED_PARTS: usize = 1;
 
 impl Session {
     /// Receives a form with the fields `purpose` and `file`. Returns the file's description.
@@ -39,15 +42,17 @@
             return Err(StoreError::TooLarge { max_bytes }.into());
         }
         self.connection.send_continue(head).await?;
-        let (sender, mut receiver) = mpsc::channel::<io::Result<Bytes>>(MAX_BUFFERED_PARTS);
-        let stream = futures_util::stream::poll_fn(move |context| receiver.poll_recv(context));
+        let (sender, receiver) = mpsc::channel(MAX_BUFFERED_PARTS);
+        let usage = Arc::<FormUsage>::default();
+        let input = FormInput::new(receiver, usage.clone(), MAX_FIELD_BYTES);
         let upload = FormUpload {
             store,
             owner: &self.caller,
             file: None,
             purpose: None,
+            usage,
         };
-        let form = upload.read(Multipart::new(stream, boundary));
+        let form = upload.read(Multipart::new(input, boundary));
         let forwarding = forward_body(&mut self.connection, body, sender);
         tokio::pin!(form, forwarding);
         let uploaded = tokio::select! {
@@ -65,14 +70,14 @@
 async fn forward_body(
     connection: &mut ClientConnection,
     body: &mut Body,
-    sender: mpsc::Sender<io::Result<Bytes>>,
+    sender: mpsc::Sender<Bytes>,
 ) -> Result<(), HttpError> {
     while let Some(bytes) = connection
         .receive_upload_part(body, UPLOAD_STALL_TIMEOUT)
         .await?
     {
         // the parser has rejected the form and dropped the receiver
-        if sender.send(Ok(bytes)).await.is_err() {
+        if sender.send(bytes).await.is_err() {
             break;
         }
     }
@@ -87,6 +92,7 @@
     /// The file, after it has been created in the store.
     file: Option<FileReservation>,
     purpose: Option<String>,
+    usage: Arc<FormUsage>,
 }
 
 impl FormUpload<'_> {
@@ -120,9 +126,12 @@
         };
         let file = self.file.insert(self.store.reserve(new)?);
         let mut appender = file.create().await?;
+        self.usage.set_in_file(true);
         while let Some(bytes) = field.chunk().await.map_err(malformed_form)? {
+            self.usage.file_bytes_read(bytes.len());
             appender.write(&bytes).await?;
         }
+        self.usage.set_in_file(false);
         Ok(())
     }
 }
@@ -139,7 +148,10 @@
 }
 
 fn malformed_form(error: multer::Error) -> ApiError {
-    invalid_form(&error.to_string())
+    match error.source() {
+        Some(source) => invalid_form(&source.to_string()),
+        None => invalid_form(&error.to_string()),
+    }
 }
 
 fn invalid_form(message: &str) -> ApiError {
--- a/src/batch/http_api/mod.rs
+++ b/src/batch/http_api/mod.rs
@@ -13,6 +13,7 @@
 mod errors;
 mod files;
 mod form;
+mod form_input;
 mod idempotency;
 mod pagination;
 mod range;
--- a/src/net/listener/body.rs
+++ b/src/net/listener/body.rs
@@ -13,6 +13,9 @@
 
 /// Bytes of the memory for bodies that one permit represents.
 const BYTES_PER_PERMIT: usize = 1 << 10;
+/// The maximum number of bytes of an upload that are read at a time. Several parts of each upload
+/// are in memory while the spool writes.
+const MAX_UPLOAD_PART_BYTES: usize = 16 << 10;
 
 /// A request's body.
 pub struct ReceivedBody {
@@ -26,8 +29,13 @@
 }
 
 impl ClientConnection {
-    /// The next bytes of an incoming request's body; `None` at its end. Cancel safe.
-    async fn next_part(&mut self, body: &mut Body) -> Result<Option<Bytes>, HttpError> {
+    /// The next bytes of an incoming request's body; `None` at its end. At most `max_bytes` are
+    /// read from the connection. Cancel safe.
+    async fn next_part(
+        &mut self,
+        body: &mut Body,
+        max_bytes: usize,
+    ) -> Result<Option<Bytes>, HttpError> {
         let mut part = BytesMut::new();
         loop {
             body.drain_buffered(&mut self.buffer, |bytes| part.extend_from_slice(bytes))?;
@@ -41,7 +49,7 @@
                 return Ok(None);
             }
             let position = *body;
-            self.read_more(|buffer, next| position.length_in(buffer, next))
+            self.read_more(|buffer, next| position.length_in(buffer, next).min(max_bytes))
                 .await?;
         }
     }
@@ -62,7 +70,7 @@
         }
         let mut received = BytesMut::new();
         let mut reserved: Option<OwnedSemaphorePermit> = None;
-        while let Some(bytes) = self.next_part(body).await? {
+        while let Some(bytes) = self.next_part(body, usize::MAX).await? {
             if received.len() + bytes.len() > max_bytes {
                 return Err(HttpError::BodyTooLarge);
             }
@@ -127,6 +135,6 @@
             bytes: 0,
             max_wait: None,
         });
-        self.next_part(body).await
+        self.next_part(body, MAX_UPLOAD_PART_BYTES).await
     }
 }
--- a/tests/batch_memory.rs
+++ b/tests/batch_memory.rs
@@ -10,8 +10,11 @@
 use common::memory_peak::MemoryPeak;
 use common::process::Running;
 use fake_servers::{ModelServer, RequestLog, ServerOptions};
+use rstest::rstest;
 use serde_json::Value;
-use tokio::time::{Instant, sleep};
+use stilespan::net::http::read_response_head;
+use tokio::io::AsyncWriteExt;
+use tokio::time::{Instant, sleep, timeout};
 
 /// How long a batch whose budget is exhausted is watched.
 const WATCH_TIME: Duration = Duration::from_secs(5);
@@ -90,3 +93,78 @@
     let peak = fixture.memory.mib();
     assert!(peak < MEMORY_LIMIT_MIB, "{peak} MiB");
 }
+
+/// How many clients send a body without a form at a time.
+const FORMLESS_CLIENTS: usize = 300;
+const FORMLESS_BODY_BYTES: usize = 8 << 20;
+
+/// The beginning of a body in which the reader of the form finds no end.
+#[derive(Clone, Copy)]
+enum Opening {
+    NoBoundary,
+    EndlessFieldHead,
+    EndlessFields,
+}
+
+impl Opening {
+    fn text(self) -> &'static str {
+        match self {
+            Opening::NoBoundary => "",
+            Opening::EndlessFieldHead => "--XX\r\nContent-Disposition: form-data; name=\"",
+            Opening::EndlessFields => "--XX\r\n",
+        }
+    }
+
+    /// What follows the opening, again and again.
+    fn filler(self) -> Vec<u8> {
+        match self {
+            Opening::NoBoundary | Opening::EndlessFieldHead => vec![b'a'; 64 << 10],
+            Opening::EndlessFields => {
+                let field = "Content-Disposition: form-data; name=\"x\"\r\n\r\ny\r\n--XX\r\n";
+                field.repeat(1 << 10).into_bytes()
+            }
+        }
+    }
+}
+
+/// Sends a body that holds no form until the client is answered; returns the status.
+async fn send_formless_body(address: &str, opening: Opening) -> u16 {
+    let mut client = Client::new(address).await;
+    let head = format!(
+        "POST /v1/files HTTP/1.1\r\nAuthorization: Bearer {}\r\n{FORM_HEADERS}Content-Length: {FORMLESS_BODY_BYTES}\r\n\r\n{}",
+        key(),
+        opening.text()
+    );
+    let (mut reader, mut writer) = client.stream.split();
+    let filler = opening.filler();
+    let sending = async {
+        writer.write_all(head.as_bytes()).await?;
+        for _ in 0..FORMLESS_BODY_BYTES / filler.len() {
+            writer.write_all(&filler).await?;
+        }
+        std::io::Result::Ok(())
+    };
+    let answered = async {
+        let head = read_response_head(&mut client.buffer, &mut reader).await;
+        head.unwrap().status
+    };
+    let (_, status) = tokio::join!(sending, answered);
+    status
+}
+
+/// Guards against keeping whole bodies in memory in which the reader of the form finds no end.
+#[rstest]
+#[case::no_boundary(Opening::NoBoundary)]
+#[case::endless_field_head(Opening::EndlessFieldHead)]
+#[case::endless_fields(Opening::EndlessFields)]
+#[tokio::test]
+async fn formless_bodies_are_rejected_early(#[case] opening: Opening) {
+    let fixture = Fixture::start(SMALL_BUDGET_TOKENS).await;
+    let clients = (0..FORMLESS_CLIENTS).map(|_| send_formless_body(&fixture.address, opening));
+    let statuses = timeout(MAX_WAIT, futures_util::future::join_all(clients))
+        .await
+        .expect("a client got no answer");
+    assert_eq!(statuses, [400; FORMLESS_CLIENTS]);
+    let peak = fixture.memory.mib();
+    assert!(peak < MEMORY_LIMIT_MIB, "{peak} MiB");
+}
