The metadata of a batch is bounded by its size, not only by its entries

Cause: the bound counted entries; their values could be of any size.

Change: keys of 64 bytes and values of 2 KiB at most, 400 otherwise.

Measured: the case long_metadata of invalid_requests_get_api_errors failed before (404, the file was looked up) and passes; 16 entries of 500 bytes are still accepted.

--- a/src/batch/http_api/batches.rs
+++ b/src/batch/http_api/batches.rs
@@ -16,6 +16,11 @@
 
 /// The maximum number of entries in a batch's metadata.
 const MAX_METADATA_ENTRIES: usize = 16;
+/// The maximum length of a key of a batch's metadata, in bytes.
+const MAX_METADATA_KEY_BYTES: usize = 64;
+/// The maximum length of the JSON text of a metadata value, in bytes. The metadata is kept in memory
+/// as long as the batch is.
+const MAX_METADATA_VALUE_BYTES: usize = 2 << 10;
 
 impl Session {
     /// Handles a request for batches. `path`: the segments after `/v1/batches`.
@@ -103,18 +108,34 @@
 }
 
 fn parse_metadata(request: &Value) -> Result<Value, ApiError> {
-    let metadata = request["metadata"].clone();
-    let entries = metadata.as_object().map(|entries| entries.len());
-    if metadata.is_null() || entries.is_some_and(|count| count <= MAX_METADATA_ENTRIES) {
-        return Ok(metadata);
+    let metadata = &request["metadata"];
+    let is_valid = match metadata {
+        Value::Null => true,
+        Value::Object(entries) => {
+            let are_short = entries
+                .iter()
+                .all(|(key, value)| is_short_entry(key, value));
+            entries.len() <= MAX_METADATA_ENTRIES && are_short
+        }
+        _ => false,
+    };
+    if is_valid {
+        return Ok(metadata.clone());
     }
     Err(ApiError::new(
         400,
         "metadata",
-        format!("metadata must be an object of {MAX_METADATA_ENTRIES} entries at most"),
+        format!(
+            "metadata must be an object of {MAX_METADATA_ENTRIES} entries at most, with keys of \
+             {MAX_METADATA_KEY_BYTES} and values of {MAX_METADATA_VALUE_BYTES} bytes at most"
+        ),
     ))
 }
 
+fn is_short_entry(key: &str, value: &Value) -> bool {
+    key.len() <= MAX_METADATA_KEY_BYTES && value.to_string().len() <= MAX_METADATA_VALUE_BYTES
+}
+
 /// Parses a duration such as `24h`, `30m`, `90s` or `7d`.
 fn parse_duration(text: &str) -> Option<Duration> {
     let unit = text.chars().last()?;
--- a/tests/batch/rejections.rs
+++ b/tests/batch/rejections.rs
@@ -1,11 +1,22 @@
 //! Requests that the API rejects.
 
 use rstest::rstest;
+use serde_json::json;
 
 use crate::common::folder::Folder;
 use crate::common::peers::{Client, config};
 use crate::service::{request, start_router};
 
+/// A batch of an unknown file, with this number of metadata values of this length.
+fn batch_with_metadata(entries: usize, value_bytes: usize) -> String {
+    let metadata: serde_json::Map<_, _> = (0..entries)
+        .map(|number| (format!("key-{number}"), "x".repeat(value_bytes).into()))
+        .collect();
+    let batch = json!({"input_file_id": "x", "endpoint": "/v1/chat/completions",
+        "completion_window": "1h", "metadata": metadata});
+    batch.to_string()
+}
+
 #[rstest]
 #[case::batch("GET", "/v1/batches/batch_none", "", 404)]
 #[case::file("GET", "/v1/files/file-none/content", "", 404)]
@@ -32,6 +43,9 @@
     r#"{"input_file_id":"x","endpoint":"/v1/chat/completions","completion_window":"soon"}"#,
     400
 )]
+#[case::many_metadata("POST", "/v1/batches", &batch_with_metadata(17, 1), 400)]
+#[case::long_metadata("POST", "/v1/batches", &batch_with_metadata(1, 3000), 400)]
+#[case::accepted_metadata("POST", "/v1/batches", &batch_with_metadata(16, 500), 404)]
 #[case::cancel("POST", "/v1/batches/batch_none/cancel", "", 404)]
 #[case::upload("POST", "/v1/uploads", "", 400)]
 #[tokio::test]
