Chats keep their body as text, and its memory is counted while they wait

Cause: the body was kept parsed, at about twenty times the size of its text, and its memory was returned ahead of that. Lines of batches in flight kept the same.

Ruled out: a leak; the memory is freed when the chats end.

Change: RawObject keeps the values of the body as text and parses them when they are read. The memory of a chat's body stays reserved until its answer begins. The pool is an eighth of the process's memory (2 MiB before, whatever the process may use), as bodies are held longer.

--- a/src/batch/http_api/chat.rs
+++ b/src/batch/http_api/chat.rs
@@ -10,6 +10,7 @@
 use crate::edge::{ChatBody, ChatRequest};
 use crate::interface::stable_hash;
 use crate::net::http::{Body, Head, HttpError};
+use crate::net::listener::ReceivedBody;
 use crate::request_ids::is_request_id;
 
 impl Session {
@@ -22,9 +23,13 @@
     ) -> Result<Response, RequestError> {
         let received = self.receive_body(head, body).await?;
         let mut chat = ChatBody::parse(&received.bytes)?;
-        let received_at = received.received_at;
-        // releases the memory of the body
-        drop(received);
+        // the memory of the body stays reserved until the chat has begun to be answered
+        let ReceivedBody {
+            bytes,
+            memory: _memory,
+            received_at,
+        } = received;
+        drop(bytes);
         let id = self.trace_id(head)?;
         let trace = access.request_ids.acquire(&id);
         let trace =
--- a/src/batch/http_api/context.rs
+++ b/src/batch/http_api/context.rs
@@ -10,8 +10,11 @@
 use crate::batch::jobs::BatchJobs;
 use crate::batch::store::Store;
 
-/// The memory for request bodies in KiB, enough for eight bodies of the maximum size.
-const BODY_MEMORY_KIB: usize = 2 << 10;
+/// The minimum memory for request bodies in KiB, enough for eight bodies of the maximum size.
+const MIN_BODY_MEMORY_KIB: usize = 2 << 10;
+/// The limit on the process's memory divided by the memory for request bodies. A chat has its body
+/// in memory twice: as it was received, and as it is forwarded.
+const BODY_MEMORY_DIVISOR: usize = 8;
 
 /// The state shared by all connections.
 pub struct HttpContext {
@@ -30,13 +33,16 @@
 
 impl HttpContext {
     /// Creates the context of an API to these files and batches, and to the edge if it is enabled.
+    /// The process may use `memory_bytes` of memory.
     pub fn new(
         store: Store,
         jobs: BatchJobs,
         edge: Option<EdgeAccess>,
         endpoints: Vec<String>,
         max_completion_window: Duration,
+        memory_bytes: usize,
     ) -> HttpContext {
+        let body_kib = (memory_bytes / BODY_MEMORY_DIVISOR) >> 10;
         HttpContext {
             store,
             jobs,
@@ -44,7 +50,7 @@
             endpoints,
             max_completion_window,
             idempotency_keys: IdempotencyKeys::default(),
-            body_memory: Arc::new(Semaphore::new(BODY_MEMORY_KIB)),
+            body_memory: Arc::new(Semaphore::new(body_kib.max(MIN_BODY_MEMORY_KIB))),
         }
     }
 }
--- a/src/batch/line/request.rs
+++ b/src/batch/line/request.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use serde::Deserialize;
-use serde_json::{Map, Value};
+use serde_json::Value;
+use serde_json::value::RawValue;
 
 use super::error::{LineError, MAX_CUSTOM_ID_BYTES};
 use crate::api::ApiError;
 use crate::core::{Payload, Request, RequestAttributes};
-use crate::edge::{ChatBody, SharedPrefix, prompt_tokens, shared_prefix};
+use crate::edge::{ChatBody, RawObject, SharedPrefix, prompt_tokens, shared_prefix};
 use crate::net::upstream::UpstreamRequest;
 
 /// The maximum number of output tokens if the line sets no limit.
@@ -37,7 +38,7 @@
     custom_id: Option<Value>,
     method: Option<String>,
     url: Option<String>,
-    body: Option<Value>,
+    body: Option<Box<RawValue>>,
 }
 
 /// Finds the `custom_id` of a line, even if other parts of the line are invalid.
@@ -64,37 +65,40 @@
                 endpoint: endpoint.into(),
             });
         }
-        let Some(Value::Object(body)) = raw.body else {
-            let message = "body must be an object";
-            return Err(LineError::InvalidBody(message.into()));
-        };
+        let body = raw
+            .body
+            .and_then(|text| serde_json::from_str(text.get()).ok());
+        let body = body.ok_or_else(|| LineError::InvalidBody("body must be an object".into()))?;
         LineRequest::from_body(body, endpoint, trace_id)
     }
 
     fn from_body(
-        mut body: Map<String, Value>,
+        mut body: RawObject,
         endpoint: &str,
         trace_id: &str,
     ) -> Result<LineRequest, LineError> {
-        let messages = body.get("messages").and_then(Value::as_array);
-        let Some(messages) = messages.filter(|messages| !messages.is_empty()) else {
-            let message = "body.messages must be a list of messages";
-            return Err(LineError::InvalidBody(message.into()));
+        let messages = match body.get("messages") {
+            Some(Value::Array(messages)) if !messages.is_empty() => messages,
+            _ => {
+                let message = "body.messages must be a list of messages";
+                return Err(LineError::InvalidBody(message.into()));
+            }
         };
-        let prompt_tokens = prompt_tokens(messages);
-        let shared_prefix = shared_prefix(messages);
+        let prompt_tokens = prompt_tokens(&messages);
+        let shared_prefix = shared_prefix(&messages);
+        drop(messages);
         let model = body.get("model").filter(|model| model.is_string());
-        let model = model.cloned().unwrap_or_default();
+        let model = model.unwrap_or_default();
         let max_output_tokens = max_output_tokens(&body);
         let chat = ChatBody::from_object(body.clone());
         // the answer is requested as a stream; the result file gets the complete answer
-        body.insert("stream".into(), true.into());
+        body.insert("stream", &true.into());
         let upstream_request = UpstreamRequest {
             method: "POST",
             target: endpoint,
             trace_id: Some(trace_id),
             idempotency_key: Some(trace_id),
-            body: Bytes::from(Value::Object(body).to_string()),
+            body: Bytes::from(body.to_bytes()),
         };
         Ok(LineRequest {
             prompt_tokens,
@@ -134,10 +138,10 @@
     }
 }
 
-fn max_output_tokens(body: &Map<String, Value>) -> u32 {
+fn max_output_tokens(body: &RawObject) -> u32 {
     let limit = ["max_tokens", "max_completion_tokens"]
         .iter()
-        .find_map(|name| body.get(*name)?.as_u64());
+        .find_map(|name| body.get(name)?.as_u64());
     limit.map_or(DEFAULT_MAX_OUTPUT_TOKENS, |tokens| {
         tokens.min(u32::MAX.into()) as u32
     })
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -73,6 +73,7 @@
         edge,
         options.endpoints,
         max_completion_window,
+        config.memory_bytes,
     );
     Ok(BatchService {
         listener,
--- a/src/edge/chat_body.rs
+++ b/src/edge/chat_body.rs
@@ -1,14 +1,16 @@
 //! The body of a chat request in the public OpenAI format: validation, and the body that is
 //! forwarded to a model server.
 
-use serde_json::{Map, Value, json};
+use serde_json::value::RawValue;
+use serde_json::{Value, json};
 
 use super::prompt::{SharedPrefix, prompt_tokens, shared_prefix};
+use super::raw_object::RawObject;
 use crate::api::ApiError;
 use crate::interface::stable_hash;
 
 /// A validated chat request body, as the client sent it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct ChatBody {
     /// The name or alias of the model.
     pub model: String,
@@ -25,35 +27,36 @@
     /// A hash of the session's name, if the body has one.
     pub session: Option<u64>,
     /// The JSON object of the body.
-    object: Map<String, Value>,
+    object: RawObject,
 }
 
 impl ChatBody {
     /// Parses and validates a request's body.
     pub fn parse(body: &[u8]) -> Result<ChatBody, ApiError> {
-        let value: Value = serde_json::from_slice(body)
-            .map_err(|error| ApiError::new(400, None, format!("the body is no JSON: {error}")))?;
-        match value {
-            Value::Object(object) => ChatBody::from_object(object),
-            _ => Err(ApiError::new(400, None, "the body must be a JSON object")),
+        let not_json = |error| ApiError::new(400, None, format!("the body is no JSON: {error}"));
+        let text: &RawValue = serde_json::from_slice(body).map_err(not_json)?;
+        match serde_json::from_str(text.get()) {
+            Ok(object) => ChatBody::from_object(object),
+            Err(_) => Err(ApiError::new(400, None, "the body must be a JSON object")),
         }
     }
 
     /// Validates a request's JSON object.
-    pub fn from_object(object: Map<String, Value>) -> Result<ChatBody, ApiError> {
+    pub(crate) fn from_object(object: RawObject) -> Result<ChatBody, ApiError> {
         let model = read_model(&object)?;
         let messages = read_messages(&object)?;
         check_choice_count(&object)?;
         let max_output_tokens = read_max_output_tokens(&object)?;
-        let stream = read_flag(object.get("stream"), "stream")?;
-        let include_usage = object
-            .get("stream_options")
+        let stream = read_flag(object.get("stream").as_ref(), "stream")?;
+        let options = object.get("stream_options");
+        let include_usage = options
+            .as_ref()
             .and_then(|options| options.get("include_usage"));
         let include_usage = read_flag(include_usage, "stream_options")?;
         Ok(ChatBody {
             model,
-            prompt_tokens: prompt_tokens(messages),
-            shared_prefix: shared_prefix(messages),
+            prompt_tokens: prompt_tokens(&messages),
+            shared_prefix: shared_prefix(&messages),
             max_output_tokens,
             stream,
             include_usage,
@@ -66,12 +69,12 @@
     /// request for a stream with a usage event at its end.
     pub fn forwarded_body(&self, model: &str, max_output_tokens: u32) -> Vec<u8> {
         let mut object = self.object.clone();
-        object.insert("model".into(), model.into());
-        object.insert("stream".into(), true.into());
-        object.insert("stream_options".into(), json!({"include_usage": true}));
+        object.insert("model", &model.into());
+        object.insert("stream", &true.into());
+        object.insert("stream_options", &json!({"include_usage": true}));
         object.remove("max_completion_tokens");
-        object.insert("max_tokens".into(), max_output_tokens.into());
-        Value::Object(object).to_string().into_bytes()
+        object.insert("max_tokens", &max_output_tokens.into());
+        object.to_bytes()
     }
 }
 
@@ -79,9 +82,9 @@
     ApiError::new(400, param, message).code("invalid_value")
 }
 
-fn read_model(object: &Map<String, Value>) -> Result<String, ApiError> {
+fn read_model(object: &RawObject) -> Result<String, ApiError> {
     match object.get("model") {
-        Some(Value::String(name)) if !name.is_empty() => Ok(name.clone()),
+        Some(Value::String(name)) if !name.is_empty() => Ok(name),
         Some(_) => Err(invalid_value("model", "model must be a name")),
         None => {
             let error = ApiError::new(400, "model", "model is missing");
@@ -90,19 +93,22 @@
     }
 }
 
-fn read_messages(object: &Map<String, Value>) -> Result<&[Value], ApiError> {
-    let messages = object.get("messages").and_then(Value::as_array);
-    let Some(messages) = messages.filter(|messages| !messages.is_empty()) else {
+fn read_messages(object: &RawObject) -> Result<Vec<Value>, ApiError> {
+    let messages = match object.get("messages") {
+        Some(Value::Array(messages)) => messages,
+        _ => Vec::new(),
+    };
+    if messages.is_empty() {
         let message = "messages must be a list of messages";
         return Err(invalid_value("messages", message));
-    };
+    }
     if !messages.iter().all(|message| message["role"].is_string()) {
         return Err(invalid_value("messages", "each message needs a role"));
     }
     Ok(messages)
 }
 
-fn check_choice_count(object: &Map<String, Value>) -> Result<(), ApiError> {
+fn check_choice_count(object: &RawObject) -> Result<(), ApiError> {
     match object.get("n") {
         None | Some(Value::Null) => Ok(()),
         Some(count) if count.as_u64() == Some(1) => Ok(()),
@@ -112,13 +118,13 @@
 
 /// Reads the limit for the output tokens. If both parameters are given, both are validated, and
 /// `max_completion_tokens` takes precedence over the older `max_tokens`.
-fn read_max_output_tokens(object: &Map<String, Value>) -> Result<Option<u32>, ApiError> {
+fn read_max_output_tokens(object: &RawObject) -> Result<Option<u32>, ApiError> {
     let newer = read_limit(object, "max_completion_tokens")?;
     let older = read_limit(object, "max_tokens")?;
     Ok(newer.or(older))
 }
 
-fn read_limit(object: &Map<String, Value>, name: &'static str) -> Result<Option<u32>, ApiError> {
+fn read_limit(object: &RawObject, name: &'static str) -> Result<Option<u32>, ApiError> {
     let value = match object.get(name) {
         None | Some(Value::Null) => return Ok(None),
         Some(value) => value,
@@ -142,11 +148,11 @@
 }
 
 /// A hash of the session's name: the prompt cache key or, if there is none, the user.
-fn session(object: &Map<String, Value>) -> Option<u64> {
+fn session(object: &RawObject) -> Option<u64> {
     let name = ["prompt_cache_key", "user"]
         .iter()
-        .find_map(|key| object.get(*key)?.as_str());
-    name.map(stable_hash)
+        .find_map(|key| object.get(key)?.as_str().map(stable_hash));
+    name
 }
 
 #[cfg(test)]
--- a/tests/batch_memory.rs
+++ b/tests/batch_memory.rs
@@ -11,7 +11,7 @@
 use common::process::Running;
 use fake_servers::{ModelServer, RequestLog, ServerOptions};
 use rstest::rstest;
-use serde_json::Value;
+use serde_json::{Value, json};
 use stilespan::net::http::read_response_head;
 use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, sleep, timeout};
@@ -37,11 +37,15 @@
 
 impl Fixture {
     async fn start(budget_tokens: u64) -> Fixture {
-        let folder = Folder::new();
         let options = ServerOptions {
             models: vec!["hint".into()],
             ..ServerOptions::default()
         };
+        Fixture::start_on(options, budget_tokens).await
+    }
+
+    async fn start_on(options: ServerOptions, budget_tokens: u64) -> Fixture {
+        let folder = Folder::new();
         let server = ModelServer::start(options, RequestLog::default())
             .await
             .unwrap();
@@ -168,3 +172,30 @@
     let peak = fixture.memory.mib();
     assert!(peak < MEMORY_LIMIT_MIB, "{peak} MiB");
 }
+
+/// How many chats are open at a time.
+const CHATS: usize = 60;
+/// The messages of a chat, about 250 KB of text in all.
+const SHORT_MESSAGES: usize = 6_500;
+
+/// Guards against parsed bodies of chats that take many times the memory of their text.
+#[tokio::test]
+async fn open_chats_stay_within_memory() {
+    let options = ServerOptions {
+        models: vec!["hint".into()],
+        first_token_delay: MAX_WAIT,
+        ..ServerOptions::default()
+    };
+    let fixture = Fixture::start_on(options, 1_000_000_000).await;
+    // the server has to be in service and to have listed its models
+    sleep(Duration::from_millis(500)).await;
+    let messages = vec![json!({"role": "user", "content": "y"}); SHORT_MESSAGES];
+    let body = json!({"model": "hint", "max_tokens": 5, "messages": messages}).to_string();
+    let chats = (0..CHATS).map(|_| async {
+        let mut client = Client::new(&fixture.address).await;
+        request(&mut client, "POST", ENDPOINT, "", &body).await
+    });
+    let _ = timeout(WATCH_TIME, futures_util::future::join_all(chats)).await;
+    let peak = fixture.memory.mib();
+    assert!(peak < MEMORY_LIMIT_MIB, "{peak} MiB");
+}
