--- a/src/edge/chat_body.rs
+++ b/src/edge/chat_body.rs
@@ -149,10 +149,9 @@
 
 /// A hash of the session's name: the prompt cache key or, if there is none, the user.
 fn session(object: &RawObject) -> Option<u64> {
-    let name = ["prompt_cache_key", "user"]
+    ["prompt_cache_key", "user"]
         .iter()
-        .find_map(|key| object.get(key)?.as_str().map(stable_hash));
-    name
+        .find_map(|key| object.get(key)?.as_str().map(stable_hash))
 }
 
 #[cfg(test)]
