Time that ran out in the queue counts as overload only as far as replicas are in use

Cause: admission control took any missed objective for load. Where first tokens take longer than the objective whatever the load, the cut does not help, so misses go on and the fraction stays at 0.1. The checks for room compare predicted times with the objective and fail for the same reason.

Ruled out: overload by prompts (0 to 3 servers take requests there), full servers (attempts_failed), slow start (no_replica).

Change: Occupancy measures the prefill that this router sent. Misses by no_time_left are weighted by the use of the replicas outside a backoff; below half of it, late prompts are queued while their clients wait, and a server has room if it answers a typical request while the client waits. It works because occupancy falls with what is admitted, so the loop ends at the load itself.

--- a/src/policy/arrival.rs
+++ b/src/policy/arrival.rs
@@ -78,13 +78,14 @@
 
 impl Balancer {
     /// Returns when a request's first token is due: at `objective_due`, or later if the request's
-    /// own prefill takes longer, although the fleet would serve a typical request by then.
-    /// Otherwise, a session that has lost its cached prompt would be rejected while the fleet has
-    /// room. In overload the fleet does not serve typical requests in time, and nothing is extended.
+    /// own prefill takes longer, although the fleet would serve a typical request by then or has
+    /// unused capacity. Otherwise, a session that has lost its cached prompt would be rejected while
+    /// the fleet has room. In overload the fleet does not serve typical requests in time, and nothing
+    /// is extended.
     fn achievable_due(&self, arrival: &Arrival, objective_due: Timestamp) -> Timestamp {
         let fleet_model = self.fleet_prefill_models.fleet_model(self.now);
         let typical = Span::from_secs_f64(fleet_model.seconds(self.typical_tokens));
-        if self.now + typical > objective_due {
+        if self.now + typical > objective_due && !self.has_unused_capacity() {
             return objective_due;
         }
         let uncached_seconds = self.uncached_first_token_seconds(arrival);
--- a/src/policy/availability.rs
+++ b/src/policy/availability.rs
@@ -1,5 +1,9 @@
-//! How many replicas could take a request at the time of a decision, and with which
-//! probability this router may use their spare capacity while admission control sheds.
+//! How much of the fleet's capacity is in use, how many replicas could take a request at the time of
+//! a decision, and with which probability this router may use their spare capacity while admission
+//! control sheds.
+//!
+//! The measure of use is what was sent (`estimators::occupancy`), not the predicted time of a first
+//! token: first tokens may take long for other reasons than load.
 
 use super::balancer::Balancer;
 use super::replica_table::ReplicaIndex;
@@ -13,7 +17,44 @@
 /// Number of requests that all routers together may send at the same time to a replica with a free slot.
 const REQUESTS_PER_REPLICA: f64 = 4.0;
 
+/// Fraction of the replicas' time from which on the fleet counts as loaded. It is below 1 because
+/// queues grow long before all time is used.
+const LOADED_FRACTION: f64 = 0.5;
+
 impl Balancer {
+    /// Returns the fraction of the replicas' time that is in use, up to 1; 1 if no replica can be
+    /// used. The other routers are assumed to use as much as this router.
+    pub(super) fn fleet_utilization(&self) -> f64 {
+        let routers = f64::from(self.settings.router_count.max(1));
+        let busy = self.occupancy.busy_replicas(self.now, self.decay_seconds);
+        let in_service = self.maturity.in_service() as f64;
+        let usable = in_service * (1.0 - self.backoff_fraction());
+        if usable > 0.0 {
+            (busy * routers / usable).min(1.0)
+        } else {
+            1.0
+        }
+    }
+
+    /// Returns the fraction of the examined replicas that get no requests because they are in a
+    /// backoff after faults.
+    fn backoff_fraction(&self) -> f64 {
+        let total = self.replicas.len().min(MAX_EXAMINED_REPLICAS);
+        let examined = self.replicas.indices().take(total);
+        let in_backoff = examined.filter(|&index| self.is_in_backoff(index)).count();
+        in_backoff as f64 / total.max(1) as f64
+    }
+
+    /// Returns the degree to which misses can be caused by load, from 0 to 1.
+    pub(super) fn load_evidence(&self) -> f64 {
+        (self.fleet_utilization() / LOADED_FRACTION).min(1.0)
+    }
+
+    /// Returns whether the replicas have unused time, so that misses have another cause than load.
+    pub(super) fn has_unused_capacity(&self) -> bool {
+        self.fleet_utilization() < LOADED_FRACTION
+    }
+
     /// Returns how many replicas could take a request now without delaying it behind others, as far
     /// as this router knows.
     pub(super) fn available_replicas(&self, id: RequestId) -> u32 {
@@ -47,9 +88,9 @@
     }
 
     /// Returns whether a request may be sent to a mature replica now, and the replica would produce
-    /// the first token of a typical request within the latency objective. The request's own prompt
-    /// and its remaining time don't count: a replica without a queue has room for a prompt whose
-    /// prefill takes longer than the objective, too.
+    /// the first token of a typical request within the latency objective, or while the client still
+    /// waits. The request's own prompt doesn't count: a replica without a queue has room for a
+    /// prompt whose prefill takes longer, too.
     fn is_available(&self, id: RequestId, replica: ReplicaIndex) -> bool {
         let Some(request) = self.requests.get(&id) else {
             return false;
@@ -57,10 +98,11 @@
         let arrival = &request.arrival;
         let state = &self.replicas[replica];
         let objective = self.settings.classes[arrival.class as usize].first_token_objective;
+        let limit = objective.max(arrival.expires_at - self.now);
         let queued_tokens = self.typical_tokens + state.awaited_tokens;
         let seconds = self.prefill_model(replica).seconds(queued_tokens);
         self.is_eligible(replica, arrival)
-            && seconds <= objective.as_secs_f64()
+            && seconds <= limit.as_secs_f64()
             && state.dispatched_tokens == 0.0
             && !state.has_overdue_first_token(self.now)
             && self.may_send(id, replica)
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -8,6 +8,7 @@
 use super::admission::AdmissionControl;
 use super::estimators::decode_steps::DecodeSteps;
 use super::estimators::fleet_prefill_models::FleetPrefillModels;
+use super::estimators::occupancy::Occupancy;
 use super::estimators::prefill_model::LinearModel;
 use super::estimators::prefix_cache::PrefixCacheModel;
 use super::estimators::replica_load::FleetLoadMeans;
@@ -106,6 +107,9 @@
     /// The running mean of a request's uncached prompt tokens. Changed by `attempts`.
     pub(super) typical_tokens: f64,
 
+    /// How much of the replicas' time this router uses. Changed by `dispatch`.
+    pub(super) occupancy: Occupancy,
+
     /// The shortest token interval objective of any class, in seconds.
     pub(super) shortest_token_interval: f64,
     /// Seconds in which a measurement decays to 1/e.
@@ -155,6 +159,7 @@
             decode_steps: DecodeSteps::new(classes, shortest_token_interval / 2.0, decay_seconds),
             fleet_load: FleetLoadMeans::default(),
             typical_tokens: INITIAL_TYPICAL_TOKENS,
+            occupancy: Occupancy::default(),
             shortest_token_interval,
             decay_seconds,
             timer: None,
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -45,6 +45,11 @@
         for replica in std::mem::take(&mut self.dispatched_replicas) {
             let tokens = std::mem::take(&mut self.replicas[replica].dispatched_tokens);
             let model = self.prefill_model(replica);
+            self.occupancy.record(
+                model.seconds_per_token * tokens,
+                self.now,
+                self.decay_seconds,
+            );
             // The base time of a first token also contains the wait for the prefill of other
             // requests, which does not delay this replica's streams any further. Apart from the
             // prefill of its tokens, a batch delays the streams by one step.
--- a/src/policy/estimators/mod.rs
+++ b/src/policy/estimators/mod.rs
@@ -14,6 +14,7 @@
 
 pub mod decode_steps;
 pub mod fleet_prefill_models;
+pub mod occupancy;
 pub mod prefill_model;
 pub mod prefix_cache;
 pub mod replica_load;
--- a/src/policy/maturity.rs
+++ b/src/policy/maturity.rs
@@ -72,7 +72,8 @@
         }
     }
 
-    fn is_in_backoff(&self, index: ReplicaIndex) -> bool {
+    /// Whether a replica in service takes no requests because of faults.
+    pub(super) fn is_in_backoff(&self, index: ReplicaIndex) -> bool {
         let replica = &self.replicas[index];
         replica.is_in_service() && replica.consecutive_failures > 0 && replica.maturity > self.now
     }
--- a/src/policy/measurements.rs
+++ b/src/policy/measurements.rs
@@ -22,9 +22,15 @@
     }
 
     /// Records a missed objective in a model's admission control, weighted by its overload evidence
-    /// from 0 to 1.
+    /// from 0 to 1. Time that ran out before the request was sent indicates overload only as far as
+    /// the replicas are in use: to admit fewer requests does not help against other causes, and
+    /// leaves fewer answers that could show that they have ended.
     pub(super) fn record_admission_miss(&mut self, model: u32, cause: MissCause, evidence: f64) {
         self.misses[cause as usize] += 1;
+        let evidence = match cause {
+            MissCause::NoTimeLeft => evidence * self.load_evidence(),
+            MissCause::SlowSteps | MissCause::AttemptsFailed => evidence,
+        };
         self.admission
             .for_model(model, &self.settings, self.now)
             .record_outcome(evidence, self.now);
--- a/tests/balancer/main.rs
+++ b/tests/balancer/main.rs
@@ -10,3 +10,4 @@
 mod prefill;
 mod replicas;
 mod retries;
+mod slow_first_tokens;
