--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -4,7 +4,7 @@
 use super::balancer::Balancer;
 use super::replica_table::ReplicaIndex;
 use super::request_queue::QueueKey;
-use crate::interface::{Action, MissCause, RequestId, Span, Timestamp, UnservedReason};
+use crate::interface::{Action, MissCause, RequestId, Span, UnservedReason};
 
 impl Balancer {
     /// Inserts a request into the queue, ordered by the time when it is due.
@@ -40,10 +40,9 @@
         {
             let id = head.request;
             self.dequeue(id);
-            let queued_until = self.queued_until(id);
             match self.requests.get_mut(&id) {
-                Some(request) if request.due < queued_until => {
-                    request.due = queued_until;
+                Some(request) if request.due < request.queued_until => {
+                    request.due = request.queued_until;
                     self.enqueue(id);
                 }
                 request => {
@@ -55,19 +54,6 @@
         }
     }
 
-    /// Returns how long a request may be queued: until its client stops waiting if a late answer
-    /// counts for its class, or if the fleet has unused capacity.
-    fn queued_until(&self, id: RequestId) -> Timestamp {
-        let Some(request) = self.requests.get(&id) else {
-            return self.now;
-        };
-        if self.has_unused_capacity() {
-            request.arrival.expires_at
-        } else {
-            request.queued_until
-        }
-    }
-
     /// Whether the first token of a queued request can no longer arrive in time, neither at the
     /// fleet's present speed for an uncached prompt nor at any replica in service that likely has
     /// the prompt cached. Without the second check, a session's long prompt would be rejected
