End the processes of a review case that takes too long

Cause: a case that hangs would leave its routers behind when its time is over. Change: after 112 s the case kills the processes that it started and says that it couldn't run.

--- a/review/stand_ins_2/src/bin/ban_in_replacement.rs
+++ b/review/stand_ins_2/src/bin/ban_in_replacement.rs
@@ -1,4 +1,4 @@
-//! Case 6: an operator takes a model server out while the router's process is being replaced.
+//! Case 8: an operator takes a model server out while the router's process is being replaced.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::thread::sleep;
--- a/review/stand_ins_2/src/bin/half_written_inventory.rs
+++ b/review/stand_ins_2/src/bin/half_written_inventory.rs
@@ -1,4 +1,4 @@
-//! Case 8: the inventory file is caught half-written.
+//! Case 7: the inventory file is caught half-written.
 
 use std::fs::OpenOptions;
 use std::io::Write;
--- a/review/stand_ins_2/src/bin/stale_list.rs
+++ b/review/stand_ins_2/src/bin/stale_list.rs
@@ -1,4 +1,4 @@
-//! Case 7: a process that took a list over from its predecessor hands an older one on.
+//! Case 6: a process that took a list over from its predecessor hands an older one on.
 
 use std::thread::sleep;
 use std::time::{Duration, Instant};
--- a/review/stand_ins_2/src/case.rs
+++ b/review/stand_ins_2/src/case.rs
@@ -3,10 +3,41 @@
 use std::fs::File;
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::process::exit;
+use std::process::{Command, exit};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// The longest time of a run. After it, whatever still runs is ended.
+const LONGEST_RUN: Duration = Duration::from_secs(112);
+/// The processes that the case has started and that have not ended yet.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Notes that a process was started.
+pub fn process_started(pid: u32) {
+    if let Ok(mut processes) = PROCESSES.lock() {
+        processes.push(pid);
+    }
+}
+
+/// Notes that a process has ended.
+pub fn process_ended(pid: u32) {
+    if let Ok(mut processes) = PROCESSES.lock() {
+        processes.retain(|other| *other != pid);
+    }
+}
+
+/// Ends a run that takes too long: kills its processes, and says that the case couldn't run.
+fn end_late_run(case: Case) {
+    std::thread::sleep(LONGEST_RUN);
+    case.say("could not run: the run takes too long");
+    if let Ok(processes) = PROCESSES.lock() {
+        for pid in processes.iter() {
+            let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+        }
+    }
+    exit(2);
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -44,6 +75,8 @@
             root: root.into(),
             trouble,
         };
+        let late = case.clone();
+        std::thread::spawn(move || end_late_run(late));
         case.note(&format!("the run begins, TROUBLE={}", u8::from(trouble)));
         case
     }
--- a/review/stand_ins_2/src/router.rs
+++ b/review/stand_ins_2/src/router.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use crate::case::{Case, wait_until};
+use crate::case::{Case, process_ended, process_started, wait_until};
 use crate::client::{Reply, call};
 
 /// The settings of a small deployment, like those of the first site.
@@ -152,6 +152,7 @@
             command.stdin(Stdio::from(OwnedFd::from(socket))).env("GW_FD", "7");
         }
         let child = command.spawn().map_err(|e| format!("run: {e}"))?;
+        process_started(child.id());
         self.case.note(&format!("platform: {name} of the router is started, pid {}", child.id()));
         Ok(Router {
             case: self.case.clone(),
@@ -226,6 +227,7 @@
             let _ = self.child.wait();
         }
         self.is_ended = true;
+        process_ended(self.child.id());
         let how = if ended { "has ended" } else { "gets SIGKILL" };
         self.case.note(&format!("platform: {} {how}", self.name));
         ended
@@ -237,6 +239,7 @@
         if !self.is_ended {
             let _ = self.child.kill();
             let _ = self.child.wait();
+            process_ended(self.child.id());
         }
         for line in self.log().lines() {
             self.case.note(&format!("log of {}: {line}", self.name));
