--- a/review/stand_ins_2/src/case.rs
+++ b/review/stand_ins_2/src/case.rs
@@ -32,7 +32,10 @@
     case.say("could not run: the run takes too long");
     if let Ok(processes) = PROCESSES.lock() {
         for pid in processes.iter() {
-            let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+            let _ = Command::new("kill")
+                .arg("-KILL")
+                .arg(pid.to_string())
+                .status();
         }
     }
     exit(2);
--- a/review/stand_ins_2/src/model_server.rs
+++ b/review/stand_ins_2/src/model_server.rs
@@ -35,9 +35,14 @@
 
 impl ModelServer {
     /// Starts a server. Its answers have this many events, 20 ms apart.
-    pub fn start(case: &Case, name: &str, listen: &str, events: u32) -> Result<ModelServer, String> {
-        let listener =
-            TcpListener::bind(listen).map_err(|e| format!("{name} can't listen on {listen}: {e}"))?;
+    pub fn start(
+        case: &Case,
+        name: &str,
+        listen: &str,
+        events: u32,
+    ) -> Result<ModelServer, String> {
+        let listener = TcpListener::bind(listen)
+            .map_err(|e| format!("{name} can't listen on {listen}: {e}"))?;
         let address = listener.local_addr().map_err(|e| e.to_string())?;
         let server = ModelServer {
             name: name.into(),
@@ -63,7 +68,10 @@
     }
 
     pub fn seen(&self) -> Vec<Seen> {
-        self.seen.lock().map(|seen| seen.clone()).unwrap_or_default()
+        self.seen
+            .lock()
+            .map(|seen| seen.clone())
+            .unwrap_or_default()
     }
 
     /// The requests that came in this time.
@@ -89,8 +97,13 @@
             return stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
         };
         let draining = self.draining.load(Ordering::Relaxed);
-        let note = if draining { "turned away, draining" } else { "begins" };
-        self.case.note(&format!("server {}: request {id}: {note}", self.name));
+        let note = if draining {
+            "turned away, draining"
+        } else {
+            "begins"
+        };
+        self.case
+            .note(&format!("server {}: request {id}: {note}", self.name));
         if let Ok(mut seen) = self.seen.lock() {
             seen.push(Seen {
                 at: Instant::now(),
@@ -104,7 +117,11 @@
             );
         }
         let long = format!("\"max_tokens\":{LONG_ANSWER_TOKENS}");
-        let events = if request.text().contains(&long) { LONG_ANSWER_EVENTS } else { self.events };
+        let events = if request.text().contains(&long) {
+            LONG_ANSWER_EVENTS
+        } else {
+            self.events
+        };
         thread::sleep(Duration::from_millis(10));
         stream.write_all(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
