--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-case_program="$root/review/stand_ins_2/target/release/full_spool"
+case_program="$root/review/stand_ins_2/target/release/ban_in_replacement"
 if [ ! -x "$case_program" ] || [ ! -x "$root/target/release/stilespan" ]; then
   echo "could not run: build the deploy file's programs and run review/build-2.sh" | tee "$here/record.txt"
   exit 2
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-case_program="$root/review/stand_ins_2/target/release/ban_in_replacement"
+case_program="$root/review/stand_ins_2/target/release/id_at_the_other_process"
 if [ ! -x "$case_program" ] || [ ! -x "$root/target/release/stilespan" ]; then
   echo "could not run: build the deploy file's programs and run review/build-2.sh" | tee "$here/record.txt"
   exit 2
--- a/review/stand_ins_2/src/bin/ban_in_replacement.rs
+++ b/review/stand_ins_2/src/bin/ban_in_replacement.rs
@@ -1,4 +1,4 @@
-//! Case 9: an operator takes a model server out while the router's process is being replaced.
+//! Case 10: an operator takes a model server out while the router's process is being replaced.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::thread::sleep;
--- a/review/stand_ins_2/src/bin/id_at_the_other_process.rs
+++ b/review/stand_ins_2/src/bin/id_at_the_other_process.rs
@@ -1,4 +1,4 @@
-//! Case 8: the id of an open request comes again at the other process of a replacement.
+//! Case 9: the id of an open request comes again at the other process of a replacement.
 
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
--- a/review/stand_ins_2/src/model_server.rs
+++ b/review/stand_ins_2/src/model_server.rs
@@ -12,6 +12,8 @@
 use crate::client::LONG_ANSWER_TOKENS;
 use crate::http::{Message, read_message};
 
+/// The tokens of an answer that comes a token every 50 ms, an event a token: 8.3 s.
+pub const SLOW_ANSWER_TOKENS: u32 = 165;
 /// The events of a long answer: 2.5 s.
 const LONG_ANSWER_EVENTS: u32 = 125;
 
@@ -116,11 +118,14 @@
                 b"HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n",
             );
         }
-        let long = format!("\"max_tokens\":{LONG_ANSWER_TOKENS}");
-        let events = if request.text().contains(&long) {
-            LONG_ANSWER_EVENTS
+        let text = request.text();
+        let asks_for = |tokens: u32| text.contains(&format!("\"max_tokens\":{tokens}"));
+        let (events, interval) = if asks_for(LONG_ANSWER_TOKENS) {
+            (LONG_ANSWER_EVENTS, 20)
+        } else if asks_for(SLOW_ANSWER_TOKENS) {
+            (SLOW_ANSWER_TOKENS, 50)
         } else {
-            self.events
+            (self.events, 20)
         };
         thread::sleep(Duration::from_millis(10));
         stream.write_all(
@@ -132,7 +137,7 @@
                 "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"oqvh\"}},\"finish_reason\":{finish}}}]}}\n\n"
             );
             write_chunk(stream, &event)?;
-            thread::sleep(Duration::from_millis(20));
+            thread::sleep(Duration::from_millis(interval));
         }
         write_chunk(
             stream,
--- a/review/stand_ins_2/src/router.rs
+++ b/review/stand_ins_2/src/router.rs
@@ -51,6 +51,8 @@
     pub discovery: Option<SocketAddr>,
     /// The list in the configuration, as JSON.
     pub known: Option<String>,
+    /// The limits on memory in MB and on descriptors.
+    pub limits: (u32, u32),
     run: String,
     started: u32,
 }
@@ -95,6 +97,7 @@
             listener,
             discovery: None,
             known: None,
+            limits: (192, 1024),
             run: run.ok_or("deploy/balancer.toml names no run")?.to_string(),
             started: 0,
         })
@@ -118,8 +121,10 @@
         self.address = listen;
         let config = self.path(&format!("config-{}.json", self.started));
         let mut fields = format!(
-            "\"name\":\"n1\",\"listen\":\"{listen}\",\"admin\":\"{admin}\",\"seed\":\"8c1f30d27a5be96{}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"settings\":{SETTINGS}",
-            self.started % 10
+            "\"name\":\"n1\",\"listen\":\"{listen}\",\"admin\":\"{admin}\",\"seed\":\"8c1f30d27a5be96{}\",\"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"settings\":{SETTINGS}",
+            self.started % 10,
+            self.limits.0,
+            self.limits.1
         );
         if let Some(discovery) = self.discovery {
             fields += &format!(",\"discovery\":\"{discovery}\"");
@@ -228,6 +233,17 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// The process's anonymous memory, in KiB.
+    pub fn anonymous_kib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
     /// Waits until the log holds a text.
     pub fn wait_for_log(&self, text: &str, limit: Duration) -> bool {
         let end = Instant::now() + limit;
