Review cases: the router's addresses are of the run alone

Cause: a free port on 127.0.0.1 was released before the router bound it, and an outgoing connection could take it meanwhile. Change: such an address is at a loopback address derived from the process id. No check, bound or disruption is changed.

--- a/review/stand_ins_2/src/router.rs
+++ b/review/stand_ins_2/src/router.rs
@@ -76,8 +76,13 @@
     is_ended: bool,
 }
 
+/// A free address for a router to listen on. It is released before the router binds it, so it is at
+/// a loopback address of this run alone: on 127.0.0.1 an outgoing connection of any process could
+/// take the port meanwhile.
 pub fn free_address() -> Result<SocketAddr, String> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(|e| e.to_string())?;
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(127, 64 | (high & 63), middle, low.clamp(1, 254));
+    let listener = TcpListener::bind((own, 0)).map_err(|e| e.to_string())?;
     listener.local_addr().map_err(|e| e.to_string())
 }
 
