Commands given while the process is replaced reach every process

Cause: the state was copied for the successor, the reply was written, and only then was the successor registered for commands; a large list holds the write up. The same gap: a late reply was ignored, commands of a peer were told to no third process, the state in the reply of a second predecessor was dropped. Ruled out: the file; the old process had written the ban. Change: copy and registration are one step; commands are forwarded in their order, to all processes but their origin, with an id; a successor serves only after the acknowledgement of its takeover, which follows every confirmed command, or else reads the predecessor's file. So no command waits for a process that does not serve yet.

--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -1,12 +1,16 @@
 //! The router's lifecycle: ready, draining, replaced, shutting down. Executes operators' commands,
 //! from the operators' address and from peer processes, and owns the maintenance state. Before a
 //! command is confirmed, the state is on disk and the router's other processes have executed the
-//! command; only restoring a model server does not require the latter. The core chooses the model
-//! server for a request; [`crate::ops::maintenance_state`] defines the format of the file.
+//! command; only restoring a model server does not require the latter (`replication`). The core
+//! chooses the model server for a request; [`crate::ops::maintenance_state`] defines the format of
+//! the file.
 
+mod adoption;
 mod change;
 mod command;
+mod command_id;
 mod peers;
+mod replication;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -14,7 +18,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::{Mutex, watch};
-use tracing::{info, warn};
+use tracing::info;
 
 use crate::core::{Clock, CoreHandle, MaintenanceAction};
 use crate::interface::ReplicaId;
@@ -23,28 +27,23 @@
 use crate::storage::{AtomicFile, BackgroundWriter, Disk, Version};
 
 pub use command::{AdminCommand, AdminError};
-pub use peers::{ForwardedCommand, PeerId, RegisteredPeer};
+pub use command_id::CommandId;
+pub use peers::{ForwardedCommand, PeerId, PeerState, RegisteredPeer};
 
 use change::{AppliedChange, ServerCheck};
+use command_id::RecentCommands;
 use peers::Peers;
 
 /// When the router started draining; `None` while it accepts clients.
 pub type DrainingSince = Option<Instant>;
 
-/// How long an operator's command waits until the state is on disk, retries included. Operators
-/// wait one second for an answer.
-const PERSIST_TIMEOUT: Duration = Duration::from_millis(700);
-/// How long a command that a peer forwarded waits until the state is on disk. Shorter than
-/// [`peers::PEER_CONFIRMATION_TIMEOUT`], so that the peer receives the answer in time.
-const PEER_PERSIST_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Executes operators' commands and owns the maintenance state.
 pub struct Lifecycle {
     core: CoreHandle,
     draining: watch::Sender<DrainingSince>,
-    /// Locked while a command is applied, so that the states are written in the order of the
-    /// commands.
-    maintenance: Mutex<MaintenanceState>,
+    /// Locked while a command is applied, so that the states are written, and the commands are
+    /// forwarded, in the order of the commands.
+    maintenance: Mutex<Maintenance>,
     /// Writes the maintenance state to its file; `None` if this process can have no successor.
     writer: Option<BackgroundWriter>,
     clock: Clock,
@@ -52,6 +51,12 @@
     peers: Peers,
 }
 
+/// The maintenance state, and the commands that changed it last.
+struct Maintenance {
+    state: MaintenanceState,
+    recent_commands: RecentCommands,
+}
+
 impl Lifecycle {
     /// Creates the lifecycle with the maintenance state of an earlier process, whose times must
     /// have been converted to `clock`. The listeners watch `draining`. `is_serving`: whether this
@@ -73,7 +78,10 @@
         Arc::new(Lifecycle {
             core,
             draining,
-            maintenance: Mutex::new(maintenance),
+            maintenance: Mutex::new(Maintenance {
+                state: maintenance,
+                recent_commands: RecentCommands::default(),
+            }),
             writer: file.map(start_writer),
             clock,
             is_serving: is_serving.into(),
@@ -92,42 +100,13 @@
         }
     }
 
-    async fn execute_change(&self, command: AdminCommand) -> Result<String, AdminError> {
-        let change = self.apply(&command, ServerCheck::Required).await?;
-        // a peer that restores a model server late does no harm; one that excludes it late may
-        let needs_peers = !matches!(command, AdminCommand::Enable(_));
-        // the change is in effect in this process, so the peers get it even if the write fails
-        let (persisted, confirmed) = tokio::join!(
-            self.persist(change.version, PERSIST_TIMEOUT),
-            self.peers.execute_on_all(command)
-        );
-        persisted?;
-        if needs_peers && !confirmed {
-            return Err(AdminError::PeerUnreachable);
-        }
-        Ok(change.message)
-    }
-
-    /// Executes a command that one of the router's other processes forwarded. Returns whether the
-    /// command is in effect and persisted in this process.
-    pub async fn execute_for_peer(&self, command: AdminCommand) -> bool {
-        let persisted = match self.apply(&command, ServerCheck::DoneByPeer).await {
-            Ok(change) => self.persist(change.version, PEER_PERSIST_TIMEOUT).await,
-            Err(error) => Err(error),
-        };
-        if let Err(error) = &persisted {
-            warn!("the command {command:?}, forwarded by a peer, failed: {error}");
-        }
-        persisted.is_ok()
-    }
-
     /// Applies a command to the maintenance state, and submits the new state to the writer.
     async fn apply(
         &self,
+        maintenance: &mut MaintenanceState,
         command: &AdminCommand,
         check: ServerCheck,
     ) -> Result<AppliedChange, AdminError> {
-        let mut maintenance = self.maintenance.lock().await;
         let message = match command {
             AdminCommand::Disable(name) => {
                 let action = MaintenanceAction::Exclude;
@@ -144,13 +123,18 @@
                 self.set_draining(maintenance.is_drained).into()
             }
         };
-        let version = self
-            .writer
-            .as_ref()
-            .map(|writer| writer.submit(self.on_wall_clock(&maintenance).to_text()));
+        let version = self.submit(maintenance);
         Ok(AppliedChange { message, version })
     }
 
+    /// Submits the state to the writer. `None` if it is not written: until this process serves, its
+    /// predecessor writes the file, which an older state must not overwrite.
+    fn submit(&self, maintenance: &MaintenanceState) -> Option<Version> {
+        let writer = self.writer.as_ref()?;
+        let is_serving = self.is_serving.load(Ordering::Relaxed);
+        is_serving.then(|| writer.submit(self.on_wall_clock(maintenance).to_text()))
+    }
+
     /// Excludes or restores a model server in the core. Returns the exclusions that are then in
     /// effect.
     async fn maintain_server(
@@ -200,22 +184,6 @@
             .map_err(AdminError::NotPersisted)
     }
 
-    /// Registers another process of the router. Commands are forwarded to it until
-    /// [`Lifecycle::unregister_peer`] is called.
-    pub fn register_peer(&self) -> RegisteredPeer {
-        self.peers.add()
-    }
-
-    /// Removes a peer that has exited.
-    pub fn unregister_peer(&self, id: PeerId) {
-        self.peers.remove(id);
-    }
-
-    /// Returns the maintenance state for another process, with its times in wall-clock time.
-    pub async fn maintenance_state(&self) -> MaintenanceState {
-        self.on_wall_clock(&*self.maintenance.lock().await)
-    }
-
     /// Converts the times of the state from this process's clock to wall-clock time, because other
     /// processes don't have this process's clock.
     fn on_wall_clock(&self, maintenance: &MaintenanceState) -> MaintenanceState {
@@ -235,9 +203,13 @@
         self.core.load().is_ready()
     }
 
-    /// Marks this process as serving, after the takeover from its predecessor.
-    pub fn set_serving(&self) {
-        self.is_serving.store(true, Ordering::Relaxed);
+    /// Marks this process as serving, after the takeover from its predecessor. From now on it writes
+    /// the file.
+    pub async fn set_serving(&self) {
+        let maintenance = self.maintenance.lock().await;
+        if !self.is_serving.swap(true, Ordering::Relaxed) {
+            self.submit(&maintenance.state);
+        }
     }
 
     /// Records in the metrics whether a successor has taken over.
--- a/src/lifecycle/peers.rs
+++ b/src/lifecycle/peers.rs
@@ -6,17 +6,14 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-use super::AdminCommand;
+use super::{AdminCommand, CommandId};
 
-/// How long to wait for the confirmations of all peers together. Operators wait one second for an
-/// answer.
-pub(super) const PEER_CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
-/// The maximum number of commands queued for one peer. Further commands wait for space within
-/// [`PEER_CONFIRMATION_TIMEOUT`].
-const COMMAND_QUEUE_CAPACITY: usize = 16;
+/// The maximum number of commands queued for one peer. A further command is not confirmed.
+const COMMAND_QUEUE_CAPACITY: usize = 64;
 
 /// Identifies one of this process's peers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +24,8 @@
 pub struct ForwardedCommand {
     /// The command.
     pub command: AdminCommand,
+    /// Identifies the command at all processes.
+    pub id: CommandId,
     /// Sends the peer's confirmation: whether the command is in effect in the peer. Dropped without
     /// a value if the peer exits.
     pub confirmation: oneshot::Sender<bool>,
@@ -40,8 +39,19 @@
     pub commands: mpsc::Receiver<ForwardedCommand>,
 }
 
+/// Whether a peer may send requests to model servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerState {
+    /// The peer replaces this process and does not serve clients yet. It gets every command before
+    /// it begins, so no command has to wait for it.
+    Joining,
+    /// The peer serves clients.
+    Serving,
+}
+
 struct Peer {
     id: PeerId,
+    state: PeerState,
     commands: mpsc::Sender<ForwardedCommand>,
 }
 
@@ -54,34 +64,45 @@
 
 impl Peers {
     /// Adds a peer.
-    pub(super) fn add(&self) -> RegisteredPeer {
+    pub(super) fn add(&self, state: PeerState) -> RegisteredPeer {
         let (command_sender, commands) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
         let id = PeerId(self.next_id.fetch_add(1, Ordering::Relaxed));
         self.connected().push(Peer {
             id,
+            state,
             commands: command_sender,
         });
         RegisteredPeer { id, commands }
     }
 
+    /// Records that a peer serves clients. The commands that are queued for it by then have to be
+    /// sent to it before it may begin.
+    pub(super) fn set_serving(&self, id: PeerId) {
+        for peer in self.connected().iter_mut().filter(|peer| peer.id == id) {
+            peer.state = PeerState::Serving;
+        }
+    }
+
     /// Removes a peer that has exited.
     pub(super) fn remove(&self, id: PeerId) {
         self.connected().retain(|peer| peer.id != id);
     }
 
-    /// Sends a command to all peers. Returns whether each of them confirmed it in time or exited.
-    pub(super) async fn execute_on_all(&self, command: AdminCommand) -> bool {
-        let queues: Vec<_> = self
+    /// Queues a command for all peers but `except`. Does not wait, so that commands are queued in
+    /// the order of the calls.
+    pub(super) fn forward(
+        &self,
+        command: &AdminCommand,
+        id: CommandId,
+        except: Option<PeerId>,
+    ) -> Confirmations {
+        let outcomes = self
             .connected()
             .iter()
-            .map(|peer| peer.commands.clone())
+            .filter(|peer| Some(peer.id) != except)
+            .map(|peer| forward_to(peer, command.clone(), id))
             .collect();
-        let confirmations = queues
-            .into_iter()
-            .map(|queue| execute_on(queue, command.clone()));
-        timeout(PEER_CONFIRMATION_TIMEOUT, join_all(confirmations))
-            .await
-            .is_ok_and(|confirmed| confirmed.into_iter().all(|confirmed| confirmed))
+        Confirmations { outcomes }
     }
 
     fn connected(&self) -> MutexGuard<'_, Vec<Peer>> {
@@ -91,18 +112,58 @@
     }
 }
 
-/// Sends a command to one peer. Returns whether the peer confirmed the command or exited.
-async fn execute_on(queue: mpsc::Sender<ForwardedCommand>, command: AdminCommand) -> bool {
+/// Queues a command for one peer.
+fn forward_to(peer: &Peer, command: AdminCommand, id: CommandId) -> Outcome {
     let (confirmation, confirmed) = oneshot::channel();
     let forwarded = ForwardedCommand {
         command,
+        id,
         confirmation,
     };
-    if queue.send(forwarded).await.is_err() {
-        // a peer that has exited does not need the command
-        return true;
+    match peer.commands.try_send(forwarded) {
+        Ok(()) if peer.state == PeerState::Joining => Outcome::QueuedAheadOfStart,
+        Ok(()) => Outcome::Pending(confirmed),
+        Err(TrySendError::Closed(_)) => Outcome::Exited,
+        Err(TrySendError::Full(_)) => Outcome::QueueFull,
+    }
+}
+
+/// What became of a command at one peer.
+enum Outcome {
+    /// The peer has not confirmed it yet.
+    Pending(oneshot::Receiver<bool>),
+    /// The peer gets it before it serves clients.
+    QueuedAheadOfStart,
+    /// The peer has exited and does not need the command.
+    Exited,
+    /// The peer does not get the command.
+    QueueFull,
+}
+
+impl Outcome {
+    async fn confirmed(self) -> bool {
+        match self {
+            Outcome::Pending(confirmed) => confirmed.await.unwrap_or(true),
+            Outcome::QueuedAheadOfStart | Outcome::Exited => true,
+            Outcome::QueueFull => false,
+        }
+    }
+}
+
+/// The confirmations of one command by the peers.
+pub(super) struct Confirmations {
+    outcomes: Vec<Outcome>,
+}
+
+impl Confirmations {
+    /// Waits until each peer has confirmed the command or exited. Returns whether that happens
+    /// within `limit`.
+    pub(super) async fn wait(self, limit: Duration) -> bool {
+        let confirmations = self.outcomes.into_iter().map(Outcome::confirmed);
+        timeout(limit, join_all(confirmations))
+            .await
+            .is_ok_and(|confirmed| confirmed.into_iter().all(|confirmed| confirmed))
     }
-    confirmed.await.unwrap_or(true)
 }
 
 #[cfg(test)]
--- a/src/lifecycle/tests.rs
+++ b/src/lifecycle/tests.rs
@@ -56,9 +56,11 @@
         true,
     );
     let before = stepped_wall_clock().as_micros() as u64;
+    let (peer, _) = lifecycle.register_peer(PeerState::Serving).await;
+    let command = AdminCommand::Disable("s-1".into());
     assert!(
         lifecycle
-            .execute_for_peer(AdminCommand::Disable("s-1".into()))
+            .execute_for_peer(command, CommandId::random(), peer.id)
             .await
     );
     let after = stepped_wall_clock().as_micros() as u64 + 1_000;
@@ -75,7 +77,11 @@
         .expect("the copy of the file is written");
     let copied = MaintenanceState::parse(&std::fs::read(&copy).unwrap()).unwrap();
     folder.close().unwrap();
-    for state in [stored, copied, lifecycle.maintenance_state().await] {
+    for state in [
+        stored,
+        copied,
+        lifecycle.register_peer(PeerState::Serving).await.1,
+    ] {
         let excluded_at = state.exclusions[0].excluded_at.as_micros();
         assert!(
             (before - 1_000..=after).contains(&excluded_at),
--- a/src/net/handover/exchange.rs
+++ b/src/net/handover/exchange.rs
@@ -3,49 +3,45 @@
 
 use std::future::pending;
 
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 use tracing::{info, warn};
 
 use super::message::PeerMessage;
 use super::message_stream::{Connection, MessageReader, MessageWriter};
 use super::outgoing_transfers::OutgoingTransfers;
-use super::peer_registration::PeerRegistration;
 use super::resource_amounts::{Resource, ResourceAmounts};
 use super::session::{Effect, Peer, Session};
+use super::subscription::Subscription;
 use super::takeover::TakeoverAnnouncement;
 use super::{Handover, OUTGOING_QUEUE_LENGTH};
-use crate::core::DiscoveryCommand;
-use crate::interface::EndpointListKind;
-use crate::lifecycle::ForwardedCommand;
-use crate::net::discovery::endpoint_list::EndpointList;
+use crate::lifecycle::{AdminCommand, CommandId, ForwardedCommand};
 use crate::net::listener::{REQUEST_CUTOFF_AFTER_SHUTDOWN, wait_until_set};
 
 impl Handover {
     /// Exchanges messages until the other process exits, and returns whether that process had taken
     /// over from this one.
     ///
-    /// If the other process is the predecessor, `announcement` receives a value when this process
-    /// starts to serve clients.
+    /// `subscription` receives the changes that the other process has not been told of. If the
+    /// other process is the predecessor, `announcement` receives a value when this process starts
+    /// to serve clients.
     pub(super) async fn exchange(
         &self,
         peer: Peer,
         mut connection: Connection,
+        subscription: Subscription<'_>,
         announcement: Option<oneshot::Receiver<TakeoverAnnouncement>>,
     ) -> bool {
         let (outgoing, queue) = mpsc::channel(OUTGOING_QUEUE_LENGTH);
         // The limits bound the contents of this channel. Sending on a bounded channel could wait,
         // and an amount that waits there would be lost when the exchange ends.
         let (transfer_sender, transfers) = mpsc::unbounded_channel();
-        let mut endpoints = self.endpoints.clone();
-        endpoints.mark_unchanged();
         let mut exchange = Exchange {
             handover: self,
             session: Session::new(peer),
             outgoing,
-            commands: PeerRegistration::new(&self.lifecycle),
+            subscription,
             transfers: OutgoingTransfers::new(&self.limits, transfers),
-            endpoints,
             announcement,
         };
         tokio::select! {
@@ -106,11 +102,10 @@
     handover: &'a Handover,
     session: Session,
     outgoing: mpsc::Sender<PeerMessage>,
-    /// Operators' commands for the other process. Dropped before `transfers`, so that the peer is
+    /// The changes for the other process. Dropped before `transfers`, so that the peer is
     /// unregistered before its limits return to this process.
-    commands: PeerRegistration<'a>,
+    subscription: Subscription<'a>,
     transfers: OutgoingTransfers<'a>,
-    endpoints: watch::Receiver<Option<EndpointList>>,
     announcement: Option<oneshot::Receiver<TakeoverAnnouncement>>,
 }
 
@@ -118,10 +113,10 @@
     /// Handles events until the other process exits or the connection fails.
     async fn run(&mut self, reader: &mut MessageReader) {
         while let Some(event) = self.next_event(reader).await {
-            if let Some(message) = self.respond(event).await
-                && self.outgoing.send(message).await.is_err()
-            {
-                return;
+            for message in self.respond(event).await {
+                if self.outgoing.send(message).await.is_err() {
+                    return;
+                }
             }
         }
     }
@@ -140,69 +135,80 @@
                     return None;
                 }
             },
-            Some(forward) = self.commands.recv() => ExchangeEvent::CommandRequested(forward),
-            Ok(()) = self.endpoints.changed(), if to_successor => ExchangeEvent::EndpointsChanged,
+            Some(forward) = self.subscription.commands.recv() => ExchangeEvent::CommandRequested(forward),
+            Ok(()) = self.subscription.endpoints.changed(), if to_successor => ExchangeEvent::EndpointsChanged,
             Some(amounts) = self.transfers.recv() => ExchangeEvent::LimitsReleased(amounts),
             announcement = next_announcement(&mut self.announcement) => ExchangeEvent::TakeoverAnnounced(announcement),
         };
         Some(event)
     }
 
-    /// Handles an event and returns the message to send to the other process, if any.
-    async fn respond(&mut self, event: ExchangeEvent) -> Option<PeerMessage> {
+    /// Handles an event and returns the messages to send to the other process, in their order.
+    async fn respond(&mut self, event: ExchangeEvent) -> Vec<PeerMessage> {
         match event {
             ExchangeEvent::Received(message) => {
                 let effect = self.session.receive(message);
                 self.apply(effect).await
             }
             ExchangeEvent::CommandRequested(forwarded) => {
-                let ForwardedCommand {
-                    command,
-                    confirmation,
-                } = forwarded;
-                Some(self.session.forward_command(command, confirmation))
+                vec![self.session.forward_command(forwarded)]
             }
             ExchangeEvent::EndpointsChanged => {
-                let list = self.endpoints.borrow_and_update().clone();
-                list.map(PeerMessage::EndpointsUpdated)
+                let list = self.subscription.endpoints.borrow_and_update().clone();
+                Vec::from_iter(list.map(PeerMessage::EndpointsUpdated))
             }
             ExchangeEvent::LimitsReleased(amounts) => {
                 self.transfers.record(amounts);
-                Some(PeerMessage::LimitsTransferred(amounts))
+                vec![PeerMessage::LimitsTransferred(amounts)]
             }
             ExchangeEvent::TakeoverAnnounced(TakeoverAnnouncement { acknowledged }) => {
-                Some(self.session.announce_takeover(acknowledged))
+                vec![self.session.announce_takeover(acknowledged)]
             }
         }
     }
 
-    /// Applies the effect of a received message and returns the reply, if any.
-    async fn apply(&self, effect: Effect) -> Option<PeerMessage> {
-        let handover = self.handover;
+    /// Applies the effect of a received message and returns the messages to send.
+    async fn apply(&mut self, effect: Effect) -> Vec<PeerMessage> {
         match effect {
             Effect::Nothing => {}
-            Effect::ExecuteCommand { id, command } => {
-                let succeeded = handover.lifecycle.execute_for_peer(command).await;
-                return Some(PeerMessage::AdminCommandResult { id, succeeded });
-            }
-            Effect::UpdateEndpoints(list) => {
-                let revision = list.revision();
-                let resolved = list.resolved(EndpointListKind::Complete, &handover.localities);
-                let command = DiscoveryCommand::Adopt {
-                    version: revision,
-                    update: resolved,
-                };
-                let _ = handover.discovery.send(command).await;
-            }
-            Effect::AddLimits(amounts) => handover.limits.add(amounts),
-            Effect::YieldToSuccessor => {
-                info!("the successor process has taken over");
-                handover.successor_serving.send_replace(true);
-                handover.lifecycle.set_succeeded(true);
-                return Some(PeerMessage::TakeoverAcknowledged);
+            Effect::ExecuteCommand { id, command, key } => {
+                let succeeded = self.execute_command(command, key).await;
+                return vec![PeerMessage::AdminCommandResult { id, succeeded }];
             }
+            Effect::AdoptReply(reply) => self.handover.adopt(reply).await,
+            Effect::UpdateEndpoints(list) => self.handover.adopt_endpoints(list).await,
+            Effect::AddLimits(amounts) => self.handover.limits.add(amounts),
+            Effect::YieldToSuccessor => return self.yield_to_successor(),
+        }
+        Vec::new()
+    }
+
+    async fn execute_command(&self, command: AdminCommand, key: Option<CommandId>) -> bool {
+        let key = key.unwrap_or_else(CommandId::random);
+        let from = self.subscription.commands.id();
+        self.handover
+            .lifecycle
+            .execute_for_peer(command, key, from)
+            .await
+    }
+
+    /// Lets the successor serve clients. It begins when it has the acknowledgement, so the changes
+    /// that it has not been told of go ahead of that.
+    fn yield_to_successor(&mut self) -> Vec<PeerMessage> {
+        info!("the successor process has taken over");
+        self.handover.successor_serving.send_replace(true);
+        self.handover.lifecycle.set_succeeded(true);
+        let commands = self.subscription.commands.start_serving();
+        let mut messages: Vec<_> = commands
+            .into_iter()
+            .map(|command| self.session.forward_command(command))
+            .collect();
+        if self.subscription.endpoints.has_changed().unwrap_or(false) {
+            let list = self.subscription.endpoints.borrow_and_update().clone();
+            messages.extend(list.map(PeerMessage::EndpointsUpdated));
         }
-        None
+        messages.push(PeerMessage::TakeoverAcknowledged);
+        messages
     }
 }
 
--- /dev/null
+++ b/src/net/handover/hello_reply.rs
@@ -0,0 +1,14 @@
+//! The state in a predecessor's reply to the hello.
+
+use crate::net::discovery::endpoint_list::EndpointList;
+use crate::ops::maintenance_state::MaintenanceState;
+
+/// The state in the predecessor's reply to the hello. Empty if it has sent no valid reply in time;
+/// a reply that comes later is handled like any other message.
+#[derive(Debug, Default)]
+pub struct HelloReply {
+    /// The predecessor's maintenance state.
+    pub maintenance: Option<MaintenanceState>,
+    /// The predecessor's endpoint list, if it has one.
+    pub endpoints: Option<EndpointList>,
+}
--- a/src/net/handover/maintenance_file.rs
+++ b/src/net/handover/maintenance_file.rs
@@ -41,10 +41,13 @@
 
 /// Loads the maintenance state from the file, or from its copy if the file can't be used.
 ///
-/// Returns the default state if there is no file, or if neither the file nor its copy can be used.
-pub(super) async fn load(file: &AtomicFile, file_system: Arc<dyn FileSystem>) -> MaintenanceState {
+/// `None` if there is no file, or if neither the file nor its copy can be used.
+pub(super) async fn load(
+    file: &AtomicFile,
+    file_system: Arc<dyn FileSystem>,
+) -> Option<MaintenanceState> {
     let file_error = match read(file.path(), &file_system).await {
-        Ok(maintenance) => return maintenance.unwrap_or_default(),
+        Ok(maintenance) => return maintenance,
         Err(error) => error,
     };
     let path = file.path().display();
@@ -54,20 +57,20 @@
                 "{path}: {file_error}; starting with the exclusions and drain state of its copy, \
                  which may be older"
             );
-            maintenance
+            Some(maintenance)
         }
         Ok(None) => {
             error!(
                 "{path}: {file_error}; there is no copy; starting without exclusions or drain state"
             );
-            MaintenanceState::default()
+            None
         }
         Err(copy_error) => {
             error!(
                 "{path}: {file_error}; the copy can't be used either: {copy_error}; starting \
                  without exclusions or drain state"
             );
-            MaintenanceState::default()
+            None
         }
     }
 }
--- a/src/net/handover/maintenance_file/tests.rs
+++ b/src/net/handover/maintenance_file/tests.rs
@@ -22,7 +22,9 @@
 }
 
 async fn loaded(disk: &SimulatedDisk) -> MaintenanceState {
-    load(&file(), Arc::new(disk.clone())).await
+    load(&file(), Arc::new(disk.clone()))
+        .await
+        .unwrap_or_default()
 }
 
 #[rstest]
--- a/src/net/handover/message.rs
+++ b/src/net/handover/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::resource_amounts::ResourceAmounts;
-use crate::lifecycle::AdminCommand;
+use crate::lifecycle::{AdminCommand, CommandId};
 use crate::net::discovery::endpoint_list::EndpointList;
 use crate::ops::maintenance_state::MaintenanceState;
 
@@ -48,6 +48,9 @@
         /// The command.
         #[serde(rename = "call")]
         command: AdminCommand,
+        /// Identifies the command at all processes. Missing in messages of earlier versions.
+        #[serde(rename = "key", default, skip_serializing_if = "Option::is_none")]
+        key: Option<CommandId>,
     },
     /// The reply to [`PeerMessage::AdminCommand`].
     #[serde(rename = "done")]
--- a/src/net/handover/message/tests.rs
+++ b/src/net/handover/message/tests.rs
@@ -31,21 +31,25 @@
 #[case::successor_serving(PeerMessage::SuccessorServing, r#""ready""#)]
 #[case::takeover_acknowledged(PeerMessage::TakeoverAcknowledged, r#""taken""#)]
 #[case::drain(
-    PeerMessage::AdminCommand { id: 1, command: AdminCommand::Drain },
+    PeerMessage::AdminCommand { id: 1, command: AdminCommand::Drain, key: None },
     r#"{"call":{"id":1,"call":"drain"}}"#
 )]
 #[case::undrain(
-    PeerMessage::AdminCommand { id: 2, command: AdminCommand::Undrain },
+    PeerMessage::AdminCommand { id: 2, command: AdminCommand::Undrain, key: None },
     r#"{"call":{"id":2,"call":"undrain"}}"#
 )]
 #[case::disable(
-    PeerMessage::AdminCommand { id: 3, command: AdminCommand::Disable("s-a".into()) },
+    PeerMessage::AdminCommand { id: 3, command: AdminCommand::Disable("s-a".into()), key: None },
     r#"{"call":{"id":3,"call":{"disable":"s-a"}}}"#
 )]
 #[case::enable(
-    PeerMessage::AdminCommand { id: 4, command: AdminCommand::Enable("s-a".into()) },
+    PeerMessage::AdminCommand { id: 4, command: AdminCommand::Enable("s-a".into()), key: None },
     r#"{"call":{"id":4,"call":{"enable":"s-a"}}}"#
 )]
+#[case::identified_command(
+    PeerMessage::AdminCommand { id: 5, command: AdminCommand::Drain, key: Some(CommandId(9)) },
+    r#"{"call":{"id":5,"call":"drain","key":9}}"#
+)]
 #[case::command_succeeded(
     PeerMessage::AdminCommandResult { id: 4, succeeded: true },
     r#"{"done":{"id":4,"done":true}}"#
--- a/src/net/handover/mod.rs
+++ b/src/net/handover/mod.rs
@@ -5,16 +5,20 @@
 //! commands. They exchange lines of JSON over a Unix socket in the router's folder.
 //!
 //! - `rendezvous`: the router's folder with its socket and files;
-//! - `predecessor_link`: the connection from a starting process to its predecessor;
+//! - `predecessor_link`, `hello_reply`: the connection from a starting process to its predecessor;
 //! - `takeover`: the successor's side; `successors`: the predecessor's side;
 //! - `exchange`, `session`, `message`, `message_stream`: the messages between the two processes;
+//! - `subscription`, `peer_registration`: the state and the changes that the other process is told;
+//! - `adoption`: state of a predecessor that reaches this process later than its start;
 //! - `limit_shares`, `resource_amounts`: the division of the limits between the two processes;
 //! - `maintenance_file`: loads the maintenance state when there is no predecessor.
 //!
 //! `lifecycle` owns the maintenance state and writes its file. The platform passes the clients'
 //! listening socket to each process.
 
+mod adoption;
 mod exchange;
+mod hello_reply;
 mod limit_shares;
 mod maintenance_file;
 mod message;
@@ -25,6 +29,7 @@
 mod rendezvous;
 mod resource_amounts;
 mod session;
+mod subscription;
 mod successors;
 mod takeover;
 
@@ -84,7 +89,8 @@
     /// Starts the handover tasks of this process and returns once it may accept clients.
     ///
     /// Without a predecessor it returns immediately. Otherwise it returns once this process has an
-    /// endpoint list and a share of the limits, or once the predecessor has exited.
+    /// endpoint list and a share of the limits, and the predecessor has acknowledged the takeover,
+    /// or once the predecessor has exited.
     pub async fn start(self: Arc<Self>, predecessor: Option<PredecessorLink>) {
         let announcement_sender = match predecessor {
             Some(link) => Some(self.prepare_takeover(link).await),
@@ -92,11 +98,11 @@
         };
         self.owns_socket.store(true, Ordering::Relaxed);
         tokio::spawn(self.clone().accept_successors());
-        tokio::spawn(async move {
-            if let Some(announcement_sender) = announcement_sender {
-                Handover::announce_takeover(announcement_sender).await;
-            }
-            self.lifecycle.set_serving();
-        });
+        if let Some(announcement_sender) = announcement_sender
+            && !Handover::announce_takeover(announcement_sender).await
+        {
+            self.adopt_stored_state().await;
+        }
+        self.lifecycle.set_serving().await;
     }
 }
--- a/src/net/handover/predecessor_link.rs
+++ b/src/net/handover/predecessor_link.rs
@@ -9,13 +9,12 @@
 use tokio::time::{Instant, sleep, timeout_at};
 use tracing::{debug, info, warn};
 
+use super::hello_reply::HelloReply;
 use super::message::PeerMessage;
 use super::message_stream::{Connection, MessageError};
 use super::rendezvous::Rendezvous;
 use super::{PEER_TIMEOUT, PROTOCOL_VERSION};
 use crate::backoff::Backoff;
-use crate::net::discovery::endpoint_list::EndpointList;
-use crate::ops::maintenance_state::MaintenanceState;
 
 /// Initial delay between attempts to connect.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(2);
@@ -25,10 +24,9 @@
 /// A connection to the predecessor, with the data of its reply to the hello.
 pub struct PredecessorLink {
     pub(super) connection: Connection,
-    /// The predecessor's maintenance state. `None` if it sends no valid reply in time.
-    pub maintenance: Option<MaintenanceState>,
-    /// The predecessor's endpoint list, if it has one and sends a valid reply in time.
-    pub endpoints: Option<EndpointList>,
+    /// The state in the reply. Whoever starts with a part of it takes it out; the rest is adopted
+    /// when the exchange begins.
+    pub reply: HelloReply,
 }
 
 /// Why one attempt to connect to a predecessor failed.
@@ -112,21 +110,10 @@
             .map_err(ConnectError::from_connect)?;
         let mut connection = Connection::new(stream);
         let reply = perform_handshake(&mut connection, deadline).await?;
-        Ok(PredecessorLink {
-            connection,
-            maintenance: reply.maintenance,
-            endpoints: reply.endpoints,
-        })
+        Ok(PredecessorLink { connection, reply })
     }
 }
 
-/// The data of the predecessor's reply to the hello. Empty if it sends no valid reply in time.
-#[derive(Default)]
-struct HelloReply {
-    maintenance: Option<MaintenanceState>,
-    endpoints: Option<EndpointList>,
-}
-
 async fn perform_handshake(
     connection: &mut Connection,
     deadline: Instant,
--- a/src/net/handover/predecessor_link/tests.rs
+++ b/src/net/handover/predecessor_link/tests.rs
@@ -8,6 +8,7 @@
 
 use super::*;
 use crate::net::http::Buffer;
+use crate::ops::maintenance_state::MaintenanceState;
 
 /// Generous timeout, so that a busy machine does not fail the tests.
 const TEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -86,7 +87,7 @@
         .connect_within(TEST_TIMEOUT)
         .await
         .expect("a predecessor");
-    assert!(link.maintenance.is_some());
+    assert!(link.reply.maintenance.is_some());
 }
 
 /// The first half of a reply to a hello.
@@ -123,7 +124,7 @@
         .connect_within(TEST_TIMEOUT)
         .await
         .expect("a predecessor");
-    assert!(link.maintenance.is_some());
+    assert!(link.reply.maintenance.is_some());
 }
 
 /// The predecessor is killed while it writes its reply, and no other process listens.
--- a/src/net/handover/rendezvous.rs
+++ b/src/net/handover/rendezvous.rs
@@ -64,6 +64,14 @@
     pub async fn load_maintenance(&self) -> MaintenanceState {
         let file = AtomicFile::new(self.maintenance_file());
         maintenance_file::remove_stale_temporary_files(&file);
+        let stored = maintenance_file::load(&file, Arc::new(Disk)).await;
+        stored.unwrap_or_default()
+    }
+
+    /// Reads the maintenance state that another process has written. `None` if there is no file, or
+    /// if neither the file nor its copy can be used.
+    pub(super) async fn read_maintenance(&self) -> Option<MaintenanceState> {
+        let file = AtomicFile::new(self.maintenance_file());
         maintenance_file::load(&file, Arc::new(Disk)).await
     }
 
--- a/src/net/handover/session.rs
+++ b/src/net/handover/session.rs
@@ -5,9 +5,10 @@
 
 use tokio::sync::oneshot;
 
+use super::hello_reply::HelloReply;
 use super::message::PeerMessage;
 use super::resource_amounts::ResourceAmounts;
-use crate::lifecycle::AdminCommand;
+use crate::lifecycle::{AdminCommand, CommandId, ForwardedCommand};
 use crate::net::discovery::endpoint_list::EndpointList;
 
 /// The role of the other process in a handover.
@@ -25,7 +26,13 @@
     /// No effect: the message was a reply, or is not valid from this peer.
     Nothing,
     /// Execute a command and send its result.
-    ExecuteCommand { id: u64, command: AdminCommand },
+    ExecuteCommand {
+        id: u64,
+        command: AdminCommand,
+        key: Option<CommandId>,
+    },
+    /// Take over what the predecessor's reply to the hello has and this process lacks.
+    AdoptReply(HelloReply),
     /// Use the predecessor's endpoint list.
     UpdateEndpoints(EndpointList),
     /// Add to this process's share of the limits.
@@ -69,9 +76,19 @@
     /// Handles a received message and returns its effect.
     pub(super) fn receive(&mut self, message: PeerMessage) -> Effect {
         match (self.peer, message) {
-            (_, PeerMessage::AdminCommand { id, command }) => {
-                Effect::ExecuteCommand { id, command }
+            (_, PeerMessage::AdminCommand { id, command, key }) => {
+                Effect::ExecuteCommand { id, command, key }
             }
+            (
+                Peer::Predecessor,
+                PeerMessage::HelloAcknowledged {
+                    maintenance,
+                    endpoints,
+                },
+            ) => Effect::AdoptReply(HelloReply {
+                maintenance: Some(maintenance),
+                endpoints,
+            }),
             (_, PeerMessage::AdminCommandResult { id, succeeded }) => {
                 if let Some(result) = self.pending_commands.remove(&id) {
                     let _ = result.send(succeeded);
@@ -98,20 +115,18 @@
         }
     }
 
-    /// Creates the message that asks the peer to execute a command. `result` receives the outcome.
-    pub(super) fn forward_command(
-        &mut self,
-        command: AdminCommand,
-        result: oneshot::Sender<bool>,
-    ) -> PeerMessage {
+    /// Creates the message that asks the peer to execute a command.
+    pub(super) fn forward_command(&mut self, forwarded: ForwardedCommand) -> PeerMessage {
         self.last_command_id += 1;
         // remove the entries of callers that no longer wait for a result
         self.pending_commands
             .retain(|_, pending| !pending.is_closed());
-        self.pending_commands.insert(self.last_command_id, result);
+        self.pending_commands
+            .insert(self.last_command_id, forwarded.confirmation);
         PeerMessage::AdminCommand {
             id: self.last_command_id,
-            command,
+            command: forwarded.command,
+            key: Some(forwarded.id),
         }
     }
 
--- a/src/net/handover/session/tests.rs
+++ b/src/net/handover/session/tests.rs
@@ -1,19 +1,33 @@
 use rstest::rstest;
 
 use super::*;
+use crate::ops::maintenance_state::MaintenanceState;
 
 fn list() -> EndpointList {
     serde_json::from_str(r#"{"revision":7}"#).unwrap()
 }
 
+fn forwarded(command: AdminCommand, confirmation: oneshot::Sender<bool>) -> ForwardedCommand {
+    ForwardedCommand {
+        command,
+        id: CommandId(1),
+        confirmation,
+    }
+}
+
 /// The effect of each message depends on whether the peer is the predecessor or the successor.
 #[rstest]
-#[case::command(PeerMessage::AdminCommand { id: 3, command: AdminCommand::Drain }, "ExecuteCommand", "ExecuteCommand")]
+#[case::command(PeerMessage::AdminCommand { id: 3, command: AdminCommand::Drain, key: None }, "ExecuteCommand", "ExecuteCommand")]
 #[case::result(PeerMessage::AdminCommandResult { id: 3, succeeded: true }, "Nothing", "Nothing")]
 #[case::endpoints(PeerMessage::EndpointsUpdated(list()), "UpdateEndpoints", "Nothing")]
 #[case::limits(PeerMessage::LimitsTransferred([1, 2, 3].into()), "AddLimits", "Nothing")]
 #[case::serving(PeerMessage::SuccessorServing, "Nothing", "YieldToSuccessor")]
 #[case::acknowledged(PeerMessage::TakeoverAcknowledged, "Nothing", "Nothing")]
+#[case::late_reply(
+    PeerMessage::HelloAcknowledged { maintenance: MaintenanceState::default(), endpoints: None },
+    "AdoptReply",
+    "Nothing"
+)]
 #[case::late_hello(PeerMessage::Hello { version: 1 }, "Nothing", "Nothing")]
 fn message_effects_by_peer(
     #[case] message: PeerMessage,
@@ -51,8 +65,8 @@
     let mut session = Session::new(Peer::Successor);
     let (first, mut first_result) = oneshot::channel();
     let (second, mut second_result) = oneshot::channel();
-    session.forward_command(AdminCommand::Drain, first);
-    let message = session.forward_command(AdminCommand::Undrain, second);
+    session.forward_command(forwarded(AdminCommand::Drain, first));
+    let message = session.forward_command(forwarded(AdminCommand::Undrain, second));
     assert!(matches!(message, PeerMessage::AdminCommand { id: 2, .. }));
     for (id, succeeded) in [(9, true), (2, false), (1, true)] {
         session.receive(PeerMessage::AdminCommandResult { id, succeeded });
@@ -66,7 +80,7 @@
     let mut session = Session::new(Peer::Successor);
     for _ in 0..100 {
         let (result, _) = oneshot::channel();
-        session.forward_command(AdminCommand::Drain, result);
+        session.forward_command(forwarded(AdminCommand::Drain, result));
     }
     assert_eq!(session.pending_commands.len(), 1);
 }
--- a/src/net/handover/successors.rs
+++ b/src/net/handover/successors.rs
@@ -63,14 +63,17 @@
             _ => return warn!("a process sent no hello of this version; closing its connection"),
         }
         info!("a successor process has connected");
+        let (subscription, state) = self.subscribe(Peer::Successor).await;
         let acknowledged = PeerMessage::HelloAcknowledged {
-            maintenance: self.lifecycle.maintenance_state().await,
-            endpoints: self.endpoints.borrow().clone(),
+            maintenance: state.maintenance.unwrap_or_default(),
+            endpoints: state.endpoints,
         };
         if connection.writer.write(&acknowledged).await.is_err() {
             return;
         }
-        let took_over = self.exchange(Peer::Successor, connection, None).await;
+        let took_over = self
+            .exchange(Peer::Successor, connection, subscription, None)
+            .await;
         self.resume_after_successor_exit(took_over);
     }
 
--- a/src/net/handover/takeover.rs
+++ b/src/net/handover/takeover.rs
@@ -46,20 +46,16 @@
         announcement_sender
     }
 
-    /// Announces to the predecessor that this process serves clients, and waits for its
-    /// acknowledgement. Returns immediately if the predecessor has exited.
+    /// Announces to the predecessor that this process is about to serve clients, and waits for its
+    /// acknowledgement. Returns whether it has arrived: then this process has every change that the
+    /// predecessor has confirmed.
     pub(super) async fn announce_takeover(
         announcement_sender: oneshot::Sender<TakeoverAnnouncement>,
-    ) {
+    ) -> bool {
         let (acknowledged, acknowledgement) = oneshot::channel();
         let announcement = TakeoverAnnouncement { acknowledged };
-        if announcement_sender.send(announcement).is_ok()
-            && timeout(PEER_TIMEOUT, acknowledgement).await.is_err()
-        {
-            warn!(
-                "the predecessor process hasn't acknowledged the takeover; continuing without it"
-            );
-        }
+        announcement_sender.send(announcement).is_ok()
+            && matches!(timeout(PEER_TIMEOUT, acknowledgement).await, Ok(Ok(())))
     }
 
     /// Stays connected to the predecessor until it exits, and then connects to a process that may
@@ -73,8 +69,16 @@
         let mut announcement = Some(announcement);
         let mut next_link = Some(link);
         while let Some(link) = next_link.take() {
-            self.exchange(Peer::Predecessor, link.connection, announcement.take())
-                .await;
+            let PredecessorLink { connection, reply } = link;
+            let (subscription, _) = self.subscribe(Peer::Predecessor).await;
+            self.adopt(reply).await;
+            self.exchange(
+                Peer::Predecessor,
+                connection,
+                subscription,
+                announcement.take(),
+            )
+            .await;
             info!("the predecessor process has exited");
             let owns_socket = self.owns_socket.load(Ordering::Relaxed);
             if !owns_socket || *self.successor_serving.borrow() {
--- a/src/router/open/predecessor.rs
+++ b/src/router/open/predecessor.rs
@@ -38,7 +38,7 @@
         };
         let received = predecessor
             .as_mut()
-            .and_then(|link| link.maintenance.take());
+            .and_then(|link| link.reply.maintenance.take());
         let maintenance = match (received, &rendezvous) {
             (Some(maintenance), _) => maintenance,
             (None, Some(rendezvous)) => rendezvous.load_maintenance().await,
@@ -46,7 +46,10 @@
         };
         let clock = Clock::start();
         let maintenance = maintenance.on_clock(clock.wall_time(), clock.time_at(Instant::now()));
-        if let Some(list) = predecessor.as_mut().and_then(|link| link.endpoints.take()) {
+        let received = predecessor
+            .as_mut()
+            .and_then(|link| link.reply.endpoints.take());
+        if let Some(list) = received {
             prefer_newer_list(config, list);
         }
         StartState {
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -4,7 +4,9 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod confirmed_commands;
 mod descriptors;
 mod maintenance_state;
 mod processes;
+mod scripted_process;
 mod takeover;
--- a/tests/upgrade/processes.rs
+++ b/tests/upgrade/processes.rs
@@ -74,6 +74,11 @@
 
     /// Starts a process and waits until it listens at its operators' address.
     pub async fn start(&self) -> Process {
+        self.start_without_waiting().wait_until_listening().await
+    }
+
+    /// Starts a process.
+    pub fn start_without_waiting(&self) -> Process {
         let socket = self.listener.try_clone().unwrap();
         let mut child = self.command(socket.into(), "7").spawn().unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
@@ -83,19 +88,11 @@
                 let _ = sender.send(line);
             }
         });
-        let mut process = Process {
+        Process {
             child: Running(child),
             admin: String::new(),
             log,
-        };
-        process.admin = process
-            .wait_for_log("operators' address ")
-            .await
-            .rsplit(' ')
-            .next()
-            .unwrap()
-            .to_string();
-        process
+        }
     }
 
     /// Whether the router reports itself healthy at the clients' address.
@@ -105,6 +102,13 @@
 }
 
 impl Process {
+    /// Waits until the process listens at its operators' address.
+    pub async fn wait_until_listening(mut self) -> Process {
+        let line = self.wait_for_log("operators' address ").await;
+        self.admin = line.rsplit(' ').next().unwrap().to_string();
+        self
+    }
+
     /// Waits for a log line that contains `text` and returns the line.
     pub async fn wait_for_log(&self, text: &str) -> String {
         let start = Instant::now();
