The endpoint list and its revision change together, and are handed on together

Cause: the watcher held the list for the next process and the revision after which it polls apart; a list of the predecessor between two polls moved only the revision, and one during a poll moved only the core, so that an older answer could undo it. Ruled out: discovery, which told each change once and in order. Change: CurrentList is the one place of both; each change is published. An answer to a poll that a newer list crossed is dropped if it is older, and the poll is repeated. The predecessor's lists have their own channel; the core's commands no longer hold them.

--- a/src/core/endpoints.rs
+++ b/src/core/endpoints.rs
@@ -50,11 +50,4 @@
     /// Fetch the complete list immediately and drop any call in progress. The process was
     /// suspended, so the result of that call may be out of date.
     Refresh,
-    /// Use the list that another process of this router uses.
-    Adopt {
-        /// The list's version.
-        version: u64,
-        /// The list.
-        update: EndpointsUpdate,
-    },
 }
--- a/src/inventory/watcher.rs
+++ b/src/inventory/watcher.rs
@@ -109,9 +109,7 @@
 fn requests_list(command: &DiscoveryCommand) -> bool {
     match command {
         DiscoveryCommand::Watch => true,
-        DiscoveryCommand::Refresh
-        | DiscoveryCommand::ChangeAddress { .. }
-        | DiscoveryCommand::Adopt { .. } => false,
+        DiscoveryCommand::Refresh | DiscoveryCommand::ChangeAddress { .. } => false,
     }
 }
 
--- a/src/net/discovery/snapshot/tests.rs
+++ b/src/net/discovery/current_list/tests.rs
@@ -1,6 +1,6 @@
 use tokio::sync::watch;
 
-use super::Snapshot;
+use super::CurrentList;
 use crate::net::discovery::endpoint_list::EndpointList;
 
 const TWO_ENDPOINTS: &str = r#"{"revision":7,"complete":true,"members":[
@@ -22,12 +22,12 @@
     serde_json::to_string(&*receiver.borrow_and_update()).unwrap()
 }
 
-/// A successor process of another version reads the snapshot, so every byte must stay the same.
+/// A successor process of another version reads the list, so every byte must stay the same.
 #[test]
-fn snapshot_keeps_discovery_format() {
+fn published_list_keeps_discovery_format() {
     let (publisher, mut receiver) = watch::channel(None);
-    let mut snapshot = Snapshot::new(Some(publisher));
-    snapshot.apply(&parse(TWO_ENDPOINTS));
+    let mut list = CurrentList::new(0, Some(publisher));
+    list.apply(&parse(TWO_ENDPOINTS));
     let expected = format!(r#"{{"revision":7,"complete":true,"members":[{RECORD_A},{RECORD_B}]}}"#);
     assert_eq!(published(&mut receiver), expected);
 }
@@ -35,11 +35,26 @@
 #[test]
 fn changes_apply_to_published_list() {
     let (publisher, mut receiver) = watch::channel(Some(parse(TWO_ENDPOINTS)));
-    let mut snapshot = Snapshot::new(Some(publisher));
-    snapshot.apply(&parse(ONE_DELETED));
+    let mut list = CurrentList::new(7, Some(publisher));
+    list.apply(&parse(ONE_DELETED));
     let expected = format!(r#"{{"revision":8,"complete":true,"members":[{RECORD_A}]}}"#);
     assert_eq!(published(&mut receiver), expected);
 
-    snapshot.apply(&parse(NO_CHANGE));
+    list.apply(&parse(NO_CHANGE));
     assert!(!receiver.has_changed().unwrap(), "published again");
 }
+
+/// Guards against a revision that moves without its endpoints.
+#[test]
+fn adopted_list_is_published_with_its_revision() {
+    let (publisher, mut receiver) = watch::channel(None);
+    let mut list = CurrentList::new(0, Some(publisher));
+    list.apply(&parse(ONE_DELETED));
+    assert!(!list.adopt(&parse(TWO_ENDPOINTS)), "an older list");
+    assert_eq!(list.revision(), 8);
+    let newer = TWO_ENDPOINTS.replace("\"revision\":7", "\"revision\":9");
+    assert!(list.adopt(&parse(&newer)));
+    assert_eq!(list.revision(), 9);
+    let expected = format!(r#"{{"revision":9,"complete":true,"members":[{RECORD_A},{RECORD_B}]}}"#);
+    assert_eq!(published(&mut receiver), expected);
+}
--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -6,6 +6,8 @@
 //! - After a failed poll the core decides when to poll again, with two exceptions: the watcher
 //!   itself repeats a poll that timed out unless the previous poll failed as well, and it continues
 //!   after every failure if discovery pushes its list.
+//! - A predecessor process tells of its lists. A newer one is adopted, and the response to a poll
+//!   that was sent ahead of it is dropped if it is older.
 //! - When the address changes, and after the process was suspended, the watcher drops the poll in
 //!   progress and requests the complete list. The response to that poll could be minutes old, and
 //!   the revisions of another service need not continue those of the old one.
@@ -19,8 +21,8 @@
 use tracing::{info, warn};
 
 use super::client::{DiscoveryClient, PollError, Query};
+use super::current_list::CurrentList;
 use super::endpoint_list::EndpointList;
-use super::snapshot::Snapshot;
 use crate::core::{CoreMessage, DiscoveryCommand, EndpointsUpdate};
 use crate::interface::EndpointListKind;
 
@@ -55,12 +57,12 @@
 
 struct Watcher {
     address: String,
-    revision: u64,
+    list: CurrentList,
     localities: Vec<String>,
     pushed: bool,
     timeout_retry_delay: Duration,
-    snapshot: Snapshot,
     commands: mpsc::Receiver<DiscoveryCommand>,
+    predecessor_lists: mpsc::Receiver<EndpointList>,
     core: mpsc::Sender<CoreMessage>,
     client: DiscoveryClient,
     /// Whether the next poll requests the complete list.
@@ -77,12 +79,12 @@
 ) {
     let mut watcher = Watcher {
         address: options.address,
-        revision: options.revision,
+        list: CurrentList::new(options.revision, options.publisher),
         localities: options.localities,
         pushed: options.pushed,
         timeout_retry_delay: options.timeout_retry_delay,
-        snapshot: Snapshot::new(options.snapshot),
         commands,
+        predecessor_lists: options.predecessor_lists,
         core,
         client: DiscoveryClient::default(),
         resync: false,
@@ -106,28 +108,34 @@
     }
 
     async fn await_command(&mut self) -> Result<NextStep, CoreStopped> {
-        match self.commands.recv().await.ok_or(CoreStopped)? {
+        let command = tokio::select! {
+            command = self.commands.recv() => command.ok_or(CoreStopped)?,
+            Some(list) = self.predecessor_lists.recv() => {
+                self.adopt(list).await?;
+                return Ok(NextStep::AwaitCommand);
+            }
+        };
+        match command {
             DiscoveryCommand::Watch => {}
             DiscoveryCommand::Refresh => self.begin_resync(),
             DiscoveryCommand::ChangeAddress { address } => self.change_address(address),
-            DiscoveryCommand::Adopt {
-                version: revision,
-                update: list,
-            } => {
-                // the next poll requests the changes after this revision
-                if revision > self.revision {
-                    self.revision = revision;
-                    report(&self.core, list).await?;
-                }
-                return Ok(NextStep::AwaitCommand);
-            }
         }
         Ok(NextStep::Poll)
     }
 
+    /// Uses a list of the predecessor process if it is newer.
+    async fn adopt(&mut self, list: EndpointList) -> Result<(), CoreStopped> {
+        if !self.list.adopt(&list) {
+            return Ok(());
+        }
+        let resolved = list.resolved(EndpointListKind::Complete, &self.localities);
+        report(&self.core, resolved).await
+    }
+
     async fn poll(&mut self) -> Result<NextStep, CoreStopped> {
+        let polled_revision = self.list.revision();
         match self.poll_until_outdated().await? {
-            PollEnd::Completed(Ok(list)) => self.apply(list).await?,
+            PollEnd::Completed(Ok(list)) => self.apply(list, polled_revision).await?,
             PollEnd::Completed(Err(error)) => return self.handle_failure(error).await,
             PollEnd::AddressChanged { address } => self.change_address(address),
             PollEnd::Outdated => self.begin_resync(),
@@ -141,45 +149,60 @@
             Query::CompleteList
         } else {
             Query::ChangesAfter {
-                revision: self.revision,
+                revision: self.list.revision(),
             }
         };
-        let poll = self.client.poll(&self.address, query);
-        tokio::pin!(poll);
-        loop {
-            tokio::select! {
-                biased;
-                command = self.commands.recv() => match command.ok_or(CoreStopped)? {
-                    // the poll in progress already watches the list
-                    DiscoveryCommand::Watch => {}
-                    DiscoveryCommand::Refresh => return Ok(PollEnd::Outdated),
-                    DiscoveryCommand::ChangeAddress { address } =>
-                        return Ok(PollEnd::AddressChanged { address }),
-                    // the poll still requests all changes after its own revision
-                    DiscoveryCommand::Adopt { version: revision, update: list } => if revision > self.revision {
-                        report(&self.core, list).await?;
+        let mut client = std::mem::take(&mut self.client);
+        let address = self.address.clone();
+        let end = {
+            let poll = client.poll(&address, query);
+            tokio::pin!(poll);
+            loop {
+                tokio::select! {
+                    biased;
+                    command = self.commands.recv() => match command.ok_or(CoreStopped)? {
+                        // the poll in progress already watches the list
+                        DiscoveryCommand::Watch => {}
+                        DiscoveryCommand::Refresh => break PollEnd::Outdated,
+                        DiscoveryCommand::ChangeAddress { address } =>
+                            break PollEnd::AddressChanged { address },
                     },
-                },
-                result = &mut poll => return Ok(PollEnd::Completed(result)),
+                    // the response still has all changes after the revision that was polled
+                    Some(list) = self.predecessor_lists.recv() => self.adopt(list).await?,
+                    result = &mut poll => break PollEnd::Completed(result),
+                }
             }
-        }
+        };
+        self.client = client;
+        Ok(end)
     }
 
-    async fn apply(&mut self, list: EndpointList) -> Result<(), CoreStopped> {
-        // A response older than the current list could put a draining server back in service. The
-        // complete list is accepted at any revision, because the service may have restarted its
+    /// Uses the response to a poll that was sent when the list had the revision `polled_revision`.
+    async fn apply(&mut self, list: EndpointList, polled_revision: u64) -> Result<(), CoreStopped> {
+        let current_revision = self.list.revision();
+        let is_older = list.revision < current_revision;
+        // A response older than the current list could put a draining server back in service.
+        if is_older && polled_revision < current_revision {
+            info!(
+                "discovery's response has revision {}, older than revision {current_revision} of \
+                 the predecessor process; polling again",
+                list.revision
+            );
+            return Ok(());
+        }
+        // The complete list is accepted at any revision, because the service may have restarted its
         // count of revisions.
-        if list.revision < self.revision && !self.resync {
+        if is_older && !self.resync {
             warn!(
-                "discovery's revision decreased from {} to {}; polling for the complete list",
-                self.revision, list.revision
+                "discovery's revision decreased from {current_revision} to {}; polling for the \
+                 complete list",
+                list.revision
             );
             self.resync = true;
             return Ok(());
         }
         self.consecutive_failures = 0;
-        self.snapshot.apply(&list);
-        self.revision = list.revision;
+        self.list.apply(&list);
         self.resync = false;
         let kind = if list.complete {
             EndpointListKind::Complete
--- a/src/net/discovery/watcher/options.rs
+++ b/src/net/discovery/watcher/options.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::net::discovery::endpoint_list::EndpointList;
 
@@ -28,5 +28,7 @@
     /// The delay before a poll that timed out is repeated, up to [`MAX_TIMEOUT_RETRY_DELAY`].
     pub timeout_retry_delay: Duration,
     /// Publishes the current list for a successor process, if one can connect.
-    pub snapshot: Option<watch::Sender<Option<EndpointList>>>,
+    pub publisher: Option<watch::Sender<Option<EndpointList>>>,
+    /// Receives the lists of the predecessor process.
+    pub predecessor_lists: mpsc::Receiver<EndpointList>,
 }
--- a/src/net/handover/adoption.rs
+++ b/src/net/handover/adoption.rs
@@ -4,8 +4,6 @@
 
 use super::Handover;
 use super::hello_reply::HelloReply;
-use crate::core::DiscoveryCommand;
-use crate::interface::EndpointListKind;
 use crate::net::discovery::endpoint_list::EndpointList;
 
 impl Handover {
@@ -21,13 +19,8 @@
 
     /// Takes over an endpoint list of the predecessor.
     pub(super) async fn adopt_endpoints(&self, list: EndpointList) {
-        let revision = list.revision();
-        let resolved = list.resolved(EndpointListKind::Complete, &self.localities);
-        let command = DiscoveryCommand::Adopt {
-            version: revision,
-            update: resolved,
-        };
-        let _ = self.discovery.send(command).await;
+        // no receiver: the list comes from an inventory, or nothing changes it
+        let _ = self.predecessor_lists.send(list).await;
     }
 
     /// Takes over the maintenance state that the predecessor has written to the file. Called if the
--- a/src/net/handover/mod.rs
+++ b/src/net/handover/mod.rs
@@ -40,7 +40,6 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use super::discovery::endpoint_list::EndpointList;
-use crate::core::DiscoveryCommand;
 use crate::lifecycle::Lifecycle;
 
 pub use limit_shares::LimitShares;
@@ -70,10 +69,8 @@
     pub limits: Arc<LimitShares>,
     /// The current endpoint list of this process.
     pub endpoints: watch::Receiver<Option<EndpointList>>,
-    /// The names of the zones.
-    pub localities: Vec<String>,
-    /// Receives the endpoint list of a predecessor.
-    pub discovery: mpsc::Sender<DiscoveryCommand>,
+    /// Receives the endpoint lists of a predecessor.
+    pub predecessor_lists: mpsc::Sender<EndpointList>,
     /// Turns true when this process shuts down.
     pub shutdown: watch::Receiver<bool>,
     /// Whether a successor serves clients.
--- a/src/router/open/actors.rs
+++ b/src/router/open/actors.rs
@@ -26,7 +26,8 @@
 use crate::router::Reloader;
 use crate::storage::BackgroundReader;
 
-/// The maximum number of commands that are queued for the source of the endpoint list.
+/// The maximum number of commands, and of a predecessor's lists, that are queued for the source of
+/// the endpoint list.
 const DISCOVERY_QUEUE_LENGTH: usize = 4;
 
 /// The running actors.
@@ -39,6 +40,8 @@
     pub(super) edge: Option<Arc<Edge>>,
     /// The command queue of the source of the endpoint list.
     pub(super) discovery: mpsc::Sender<DiscoveryCommand>,
+    /// Receives the lists of a predecessor process.
+    pub(super) predecessor_lists: mpsc::Sender<EndpointList>,
     /// Whether discovery is the source of the endpoint list.
     pub(super) has_discovery: bool,
     /// The endpoint list as discovery sent it, for a successor process.
@@ -78,8 +81,10 @@
             None => (None, core_messages),
         };
         let (published, endpoints) = watch::channel(config.known_endpoints.clone());
+        let (list_sender, predecessor_lists) = mpsc::channel(DISCOVERY_QUEUE_LENGTH);
         let channels = EndpointChannels {
             commands,
+            predecessor_lists,
             messages,
             published: state.is_replaceable().then_some(published),
         };
@@ -95,6 +100,7 @@
             lifecycle,
             edge,
             discovery,
+            predecessor_lists: list_sender,
             has_discovery,
             endpoints,
         })
--- a/src/router/open/endpoints.rs
+++ b/src/router/open/endpoints.rs
@@ -15,12 +15,14 @@
 
 /// The channels that a source of the endpoint list uses.
 pub(super) struct EndpointChannels {
-    /// Commands from the core and from the handover.
+    /// Commands from the core.
     pub(super) commands: mpsc::Receiver<DiscoveryCommand>,
     /// The message queue to which lists are sent.
     pub(super) messages: mpsc::Sender<CoreMessage>,
     /// Publishes discovery's list for a successor process; `None` if there can be no successor.
     pub(super) published: Option<watch::Sender<Option<EndpointList>>>,
+    /// The lists of a predecessor process.
+    pub(super) predecessor_lists: mpsc::Receiver<EndpointList>,
 }
 
 /// Starts watching an inventory file.
@@ -69,7 +71,8 @@
         // the delays of the routers are spread by their seeds
         timeout_retry_delay: watcher::MAX_TIMEOUT_RETRY_DELAY
             .mul_f64(config.seed as f64 / u64::MAX as f64),
-        snapshot: channels.published,
+        publisher: channels.published,
+        predecessor_lists: channels.predecessor_lists,
     };
     tokio::spawn(watcher::run(options, channels.commands, channels.messages));
     true
--- a/src/router/open/handover.rs
+++ b/src/router/open/handover.rs
@@ -16,7 +16,6 @@
     state: StartState,
     actors: Actors,
     limits: Arc<LimitShares>,
-    localities: Vec<String>,
     shutdown: watch::Receiver<bool>,
     successor_serving: watch::Sender<bool>,
 ) -> Option<HandoverStart> {
@@ -25,8 +24,7 @@
         lifecycle: actors.lifecycle,
         limits,
         endpoints: actors.endpoints,
-        localities,
-        discovery: actors.discovery,
+        predecessor_lists: actors.predecessor_lists,
         shutdown,
         successor_serving,
         rebind: Notify::new(),
--- a/src/router/open/mod.rs
+++ b/src/router/open/mod.rs
@@ -94,7 +94,6 @@
             state,
             actors,
             limits,
-            config.localities,
             listener_context.shutting_down.clone(),
             successor_serving,
         ),
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -6,6 +6,7 @@
 
 mod confirmed_commands;
 mod descriptors;
+mod list_handover;
 mod maintenance_state;
 mod processes;
 mod scripted_process;
