All clients that the platform lets connect are served at 32 MB; others are rejected

Cause: the number of clients came from estimates of the process's own memory (12 MiB) and of a client's (48 KiB); whoever was not admitted waited without a limit. Ruled out: descriptors (492 clients) and the core, which never saw the requests. Change: 10 MiB and 32 KiB, so that 362 clients fit where a third of the descriptors are 341. A connection that may have waited 0.25 s for a permit gets a 503 unread, counted as turned_away. tests/memory_limit keeps its 64 MB plays and adds the least limits.

--- a/src/memory.rs
+++ b/src/memory.rs
@@ -11,13 +11,13 @@
 use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// The least memory limit that a process with 1,024 descriptors holds, in MiB. With less, fewer
-/// clients may be connected.
-pub const MIN_MEMORY_MIB: usize = 64;
+/// The least memory limit with which a process holds a client for every third of 1,024 descriptors,
+/// in MiB. With less, fewer clients may be connected.
+pub const MIN_MEMORY_MIB: usize = 32;
 /// What the process needs without connections: code, tables of limited size, the endpoint list.
-const BASE_BYTES: usize = 12 << 20;
+const BASE_BYTES: usize = 10 << 20;
 /// What a client's connection and the connection to its model server may hold together at any time.
-const CONNECTION_BYTES: usize = 48 << 10;
+const CONNECTION_BYTES: usize = 32 << 10;
 /// The shared part is the memory limit divided by this.
 const SHARED_DIVISOR: usize = 3;
 /// Answers may use the shared part divided by this, so that slow readers leave memory for requests.
--- a/src/memory/tests.rs
+++ b/src/memory/tests.rs
@@ -1,6 +1,7 @@
 use rstest::rstest;
 
 use super::*;
+use crate::net::connection_limit::ConnectionCapacities;
 
 /// All parts together stay within the limit, however small it is.
 #[rstest]
@@ -16,6 +17,21 @@
     assert!(plan.connections >= MIN_CONNECTIONS);
 }
 
+/// Guards against a limit on memory that admits fewer clients than the platform lets connect: a
+/// third of the descriptors.
+#[rstest]
+#[case::least_limits(32, 256)]
+#[case::least_memory(32, 1_024)]
+#[case::least_descriptors(192, 256)]
+#[case::usual(64, 1_024)]
+#[case::largest(192, 1_024)]
+fn a_third_of_the_descriptors_has_memory(#[case] mib: usize, #[case] descriptors: usize) {
+    let plan = MemoryPlan::new(mib << 20);
+    let by_memory = ConnectionCapacities::descriptors_for(plan.connections);
+    let capacities = ConnectionCapacities::for_descriptors(descriptors.min(by_memory));
+    assert!(capacities.clients >= descriptors / 3, "{capacities:?}");
+}
+
 #[tokio::test]
 async fn answers_leave_memory_for_requests() {
     let budget = MemoryBudget::new(8, 8);
--- a/src/net/listener/acceptor.rs
+++ b/src/net/listener/acceptor.rs
@@ -1,19 +1,25 @@
 //! Accepts connections from one listening socket until the process ends.
 //!
-//! Decides when accepting stops, and acquires a permit for each connection. [`AcceptErrors`]
-//! decides how long to wait after an error.
+//! Decides when accepting stops, and acquires a permit for each connection. A connection that gets
+//! none in time is rejected by [`TurnedAway`]. [`AcceptErrors`] decides how long to wait after an
+//! error.
 
 use std::io;
 use std::time::Instant;
 
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep_until;
 use tracing::info;
 
 use super::ListenerContext;
-use super::time_limits::{ACCEPT_PERIOD_AFTER_SHUTDOWN, REQUEST_CUTOFF_AFTER_SHUTDOWN};
+use super::time_limits::{
+    ACCEPT_PERIOD_AFTER_SHUTDOWN, MAX_PERMIT_WAIT, REQUEST_CUTOFF_AFTER_SHUTDOWN,
+};
+use super::turned_away::TurnedAway;
 use crate::net::accept_errors::AcceptErrors;
 use crate::net::connection_limit::ConnectionPermit;
+use crate::ops::metrics::ConnectionEnd;
 
 /// A listening socket.
 pub(super) trait Accept: Send + Sync {
@@ -45,6 +51,15 @@
     pub(super) unread_since: Instant,
 }
 
+/// Whether an accepted connection is admitted.
+enum Admission {
+    Admitted(AcceptedConnection),
+    /// No permit was available in time.
+    TurnedAway(TcpStream),
+    /// The process shuts down.
+    Closed,
+}
+
 /// Accepts the connections of one listening socket.
 pub(super) struct Acceptor<L> {
     context: ListenerContext,
@@ -53,6 +68,7 @@
     /// When the accept queue was last found empty. A connection that is accepted later may have
     /// been in the queue since then.
     queue_empty_at: Instant,
+    turned_away: TurnedAway,
 }
 
 impl<L: Accept> Acceptor<L> {
@@ -62,12 +78,24 @@
             listener,
             errors: AcceptErrors::new("listening socket"),
             queue_empty_at: Instant::now(),
+            turned_away: TurnedAway::default(),
         }
     }
 
     /// The next connection. `None` once the accept period after the shutdown signal is over, or if
     /// another process accepts the connections.
     pub(super) async fn next(&mut self) -> Option<AcceptedConnection> {
+        loop {
+            let stream = self.next_stream().await?;
+            match self.admit(stream).await {
+                Admission::Admitted(accepted) => return Some(accepted),
+                Admission::TurnedAway(stream) => self.turn_away(stream),
+                Admission::Closed => return None,
+            }
+        }
+    }
+
+    async fn next_stream(&mut self) -> Option<TcpStream> {
         let mut replacement = self.context.clone();
         let mut shutdown = self.context.clone();
         // checked each time, so that a flood of connections or errors can't hide the shutdown
@@ -76,7 +104,7 @@
             // calls the system directly, because the runtime also reports an empty queue to a task
             // that has used up its cooperative budget
             match self.listener.accept_queued() {
-                Ok(stream) => return self.acquire_permit(stream).await,
+                Ok(stream) => return Some(stream),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     self.queue_empty_at = Instant::now();
                 }
@@ -100,7 +128,7 @@
             match accepted {
                 Ok(stream) => {
                     self.queue_empty_at = Instant::now();
-                    return self.acquire_permit(stream).await;
+                    return Some(stream);
                 }
                 Err(e) => self.errors.back_off(&e).await,
             }
@@ -113,35 +141,52 @@
     /// the queue are reset when the listening socket is closed.
     pub(super) async fn next_queued(&mut self) -> Option<AcceptedConnection> {
         while !self.has_stopped() {
-            match self.listener.accept_queued() {
-                Ok(stream) => return self.acquire_permit(stream).await,
+            let stream = match self.listener.accept_queued() {
+                Ok(stream) => stream,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return None,
-                Err(e) => self.errors.back_off(&e).await,
+                Err(e) => {
+                    self.errors.back_off(&e).await;
+                    continue;
+                }
+            };
+            match self.admit(stream).await {
+                Admission::Admitted(accepted) => return Some(accepted),
+                Admission::TurnedAway(stream) => self.turn_away(stream),
+                Admission::Closed => return None,
             }
         }
         None
     }
 
+    /// Answers a connection for which there is no permit.
+    fn turn_away(&mut self, stream: TcpStream) {
+        let clients = self.context.metrics.clients();
+        clients.record_connection_end(ConnectionEnd::TurnedAway);
+        self.turned_away.answer(stream);
+    }
+
     fn has_stopped(&self) -> bool {
         self.context.is_replaced() || self.context.is_past_shutdown(REQUEST_CUTOFF_AFTER_SHUTDOWN)
     }
 
-    /// Waits for a permit for an accepted connection. `None` if no permit becomes available in
-    /// time. The permit is acquired only after a connection has been accepted, so that no other
-    /// connection is evicted for nothing.
-    async fn acquire_permit(&mut self, stream: TcpStream) -> Option<AcceptedConnection> {
+    /// Waits for a permit for an accepted connection. The permit is acquired only after a connection
+    /// has been accepted, so that no other connection is evicted for nothing.
+    async fn admit(&mut self, stream: TcpStream) -> Admission {
         self.errors.reset();
         let mut shutdown = self.context.clone();
-        let permit = tokio::select! {
+        let wait_until = self.queue_empty_at + MAX_PERMIT_WAIT;
+        tokio::select! {
             biased;
-            permit = self.context.connection_limit.acquire() => permit,
-            () = shutdown.wait_after_shutdown_signal(REQUEST_CUTOFF_AFTER_SHUTDOWN) => None,
-        };
-        let permit = permit?;
-        Some(AcceptedConnection {
-            stream,
-            permit,
-            unread_since: self.queue_empty_at,
-        })
+            permit = self.context.connection_limit.acquire() => match permit {
+                Some(permit) => Admission::Admitted(AcceptedConnection {
+                    stream,
+                    permit,
+                    unread_since: self.queue_empty_at,
+                }),
+                None => Admission::Closed,
+            },
+            () = shutdown.wait_after_shutdown_signal(REQUEST_CUTOFF_AFTER_SHUTDOWN) => Admission::Closed,
+            () = sleep_until(wait_until.into()) => Admission::TurnedAway(stream),
+        }
     }
 }
--- a/src/net/listener/mod.rs
+++ b/src/net/listener/mod.rs
@@ -18,6 +18,7 @@
 mod read_turns;
 mod receiving;
 mod time_limits;
+mod turned_away;
 
 use std::sync::Arc;
 use std::time::Instant;
--- a/src/net/listener/time_limits.rs
+++ b/src/net/listener/time_limits.rs
@@ -20,6 +20,10 @@
 /// A connection is dropped if its client does not accept the bytes of an answer within this time.
 pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// A connection that may have waited this long for a permit is rejected. It is a part of the shortest
+/// time that clients wait for an answer, so that they can ask elsewhere.
+pub(super) const MAX_PERMIT_WAIT: Duration = Duration::from_millis(250);
+
 /// Connections are accepted for this long after the shutdown signal, because the platform still
 /// opens new ones for up to 0.4 s.
 pub(super) const ACCEPT_PERIOD_AFTER_SHUTDOWN: Duration = Duration::from_millis(450);
--- a/src/ops/metrics/client_side.rs
+++ b/src/ops/metrics/client_side.rs
@@ -9,13 +9,14 @@
 /// hundred milliseconds; the operating system retransmits a connection request after 1, 3 and 7 s.
 const WAIT_BUCKETS: [f64; 8] = [0.001, 0.01, 0.05, 0.15, 0.5, 1.0, 3.0, 10.0];
 /// The values of the label `reason`, in the order of [`ConnectionEnd`].
-const END_LABELS: [&str; 6] = [
+const END_LABELS: [&str; 7] = [
     "evicted",
     "evicted_receiving",
     "idle",
     "drained",
     "shutdown",
     "stalled",
+    "turned_away",
 ];
 
 /// Why the router ended a client connection.
@@ -33,6 +34,8 @@
     Shutdown,
     /// The client accepted no bytes of its answer.
     Stalled,
+    /// There was no room for the connection.
+    TurnedAway,
 }
 
 /// Metrics of client connections, which start at 0.
--- a/tests/connection_limit.rs
+++ b/tests/connection_limit.rs
@@ -109,6 +109,48 @@
     }
 }
 
+/// Guards against clients beyond the limit that wait in silence: while all connections are busy, each
+/// further request gets an answer long before its client stops waiting, and is served once there is
+/// room.
+#[tokio::test]
+async fn clients_beyond_the_limit_are_answered() {
+    const BEYOND: usize = 24;
+    const DEADLINE_MS: u64 = 1500;
+    let server = peer(|n, _, _| match n {
+        0..4 => vec![
+            Step::Write(format!("{STREAM}{}", chunk(&event("x")))),
+            Step::Gate,
+            Step::Write(LAST.into()),
+        ],
+        _ => answer("y"),
+    })
+    .await;
+    let mut config = config(&[("s-a", &server.address, "SERVING")], None);
+    config.max_descriptors = 48; // four for client connections, four for server connections
+    let router = route(config).await;
+    let mut busy = Vec::new();
+    for n in 1..=4 {
+        let mut client = Client::new(&router.platform).await;
+        client
+            .send(&request("batch-mark", 10_000, "Connection: close\r\n"))
+            .await;
+        until("the server receives the request", || server.requests() == n).await;
+        busy.push(client);
+    }
+    let beyond = (0..BEYOND).map(|_| async {
+        let answer = ask(&router.platform, "hint", DEADLINE_MS);
+        let answer = timeout(Duration::from_millis(DEADLINE_MS), answer).await;
+        answer.expect("an answer in time").head.status
+    });
+    let statuses = futures_util::future::join_all(beyond).await;
+    assert_eq!(statuses, [503; BEYOND]);
+    server.gate.add_permits(4);
+    for client in &mut busy {
+        assert_eq!(client.answer().await.unwrap().head.status, 200);
+    }
+    assert_eq!(ask(&router.platform, "hint", 1000).await.head.status, 200);
+}
+
 /// While no descriptor is free, connections wait in the accept queue. A new request must keep its
 /// full time even if the queue has been non-empty for longer than its deadline. Before a fault was
 /// fixed, a request with 970 ms left was rejected within a millisecond of being sent.
--- a/tests/memory_limit/main.rs
+++ b/tests/memory_limit/main.rs
@@ -1,5 +1,5 @@
-//! A router process with the least memory and 1,024 descriptors stays within its memory while
-//! hundreds of slow peers are connected, and answers ordinary clients beside them in time.
+//! A router process with little memory stays within it while hundreds of slow peers are connected,
+//! and answers ordinary clients beside them in time.
 //!
 //! `MEMORY_PROGRAM=FILE` runs another build of the router, `MEMORY_MIB` sets another limit.
 
@@ -21,22 +21,51 @@
 use stilespan::memory::MIN_MEMORY_MIB;
 use tokio::time::timeout;
 
-use ordinary_clients::{Answers, ordinary_clients};
+use ordinary_clients::{Answers, CLIENTS as ORDINARY_CLIENTS, ordinary_clients};
 use slow_clients::SlowClient;
 use slow_servers::{bind_server, serve};
 
-const DESCRIPTORS: u64 = 1024;
-/// Nearly as many as the descriptors allow, so that ordinary clients still find room.
-const SLOW_CLIENTS: usize = 470;
+/// Limits of a router, and clients that fill them.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    memory_mib: u64,
+    descriptors: u64,
+    slow_clients: usize,
+}
+
+impl Limits {
+    /// Nearly as many slow clients as the descriptors allow, so that ordinary clients still find room.
+    const USUAL: Limits = Limits {
+        memory_mib: 64,
+        descriptors: 1024,
+        slow_clients: 470,
+    };
+
+    /// Clients hold a third of the descriptors, ordinary ones included.
+    const fn with_a_third(memory_mib: u64, descriptors: u64) -> Limits {
+        Limits {
+            memory_mib,
+            descriptors,
+            slow_clients: descriptors as usize / 3 - ORDINARY_CLIENTS,
+        }
+    }
+
+    const LEAST_MEMORY: Limits = Limits::with_a_third(MIN_MEMORY_MIB as u64, 1024);
+
+    /// Other limits on memory may be tried by hand.
+    fn from_environment(self) -> Limits {
+        let limit = std::env::var("MEMORY_MIB").ok();
+        limit.map_or(self, |limit| Limits {
+            memory_mib: limit.parse().unwrap(),
+            ..self
+        })
+    }
+}
+
 const PLAY_TIME: Duration = Duration::from_secs(6);
 /// Servers outlive the play.
 const SERVER_TIME: Duration = Duration::from_secs(20);
 
-fn limit_mib() -> u64 {
-    let limit = std::env::var("MEMORY_MIB").ok();
-    limit.map_or(MIN_MEMORY_MIB as u64, |limit| limit.parse().unwrap())
-}
-
 fn router_program() -> Command {
     let mut command = std::env::var_os("MEMORY_PROGRAM").map_or_else(program, Command::new);
     command.env_remove("GW_CONFIG").env("RUST_LOG", "error");
@@ -45,14 +74,18 @@
 }
 
 /// Starts a router with two servers; returns its process and address.
-async fn start_router(servers: &[String; 2], scratch_name: &str) -> (Running, String) {
+async fn start_router(
+    servers: &[String; 2],
+    limits: Limits,
+    scratch_name: &str,
+) -> (Running, String) {
     let hosts = [
         ("s-a", servers[0].as_str(), "SERVING"),
         ("s-b", servers[1].as_str(), "SERVING"),
     ];
     let mut config: Value = serde_json::from_str(&config_text(&hosts, None)).unwrap();
-    config["limits"]["memory_mb"] = limit_mib().into();
-    config["limits"]["sockets"] = DESCRIPTORS.into();
+    config["limits"]["memory_mb"] = limits.memory_mib.into();
+    config["limits"]["sockets"] = limits.descriptors.into();
     let file = Scratch::new(scratch_name, &config.to_string());
     let mut command = router_program();
     command.env("RUST_LOG", "info");
@@ -86,21 +119,24 @@
 }
 
 /// Plays hundreds of slow clients, which take turns through the given kinds, beside ordinary ones.
-async fn play(name: &str, kinds: &'static [SlowClient]) -> Answers {
+async fn play(name: &str, limits: Limits, kinds: &'static [SlowClient]) -> Answers {
+    let limits = limits.from_environment();
     let servers = start_servers().await;
-    let (mut process, address) = start_router(&servers, &format!("memory-{name}")).await;
+    let scratch_name = format!("memory-{name}-{}-{}", limits.memory_mib, limits.descriptors);
+    let (mut process, address) = start_router(&servers, limits, &scratch_name).await;
     let memory = MemoryPeak::watch(process.0.id());
     let slow_address = address.clone();
     spawn_thread(async move {
-        let slow = (0..SLOW_CLIENTS).map(|number| kinds[number % kinds.len()].run(&slow_address));
+        let slow =
+            (0..limits.slow_clients).map(|number| kinds[number % kinds.len()].run(&slow_address));
         let _ = timeout(PLAY_TIME, join_all(slow)).await;
     });
     let ordinary = ordinary_clients(&address, PLAY_TIME).await;
     let ended = process.0.try_wait().unwrap();
     assert!(ended.is_none(), "the router ended: {ended:?}");
-    println!("{name}: {} MiB at most; {ordinary:?}", memory.mib());
-    let peak = memory.mib();
-    assert!(peak < limit_mib(), "{peak} MiB of {}", limit_mib());
+    let (peak, limit) = (memory.mib(), limits.memory_mib);
+    println!("{name}: {peak} MiB of {limit} at most; {ordinary:?}");
+    assert!(peak < limit, "{peak} MiB of {limit}");
     ordinary
 }
 
@@ -115,7 +151,7 @@
 #[case::half_heads("half-heads", &[SlowClient::HalfHead])]
 #[tokio::test]
 async fn memory_stays_within_the_limit(#[case] name: &str, #[case] kinds: &'static [SlowClient]) {
-    let ordinary = play(name, kinds).await;
+    let ordinary = play(name, Limits::USUAL, kinds).await;
     ordinary.check_answered();
     ordinary.check_served();
 }
@@ -137,5 +173,35 @@
     #[case] name: &str,
     #[case] kinds: &'static [SlowClient],
 ) {
-    play(name, kinds).await.check_answered();
+    play(name, Limits::USUAL, kinds).await.check_answered();
+}
+
+/// Guards against limits that admit fewer clients than the platform lets connect: all of them are
+/// served at once, with answers that stay open beside ordinary requests.
+#[rstest]
+#[case::least_memory(Limits::LEAST_MEMORY)]
+#[case::least_limits(Limits::with_a_third(32, 256))]
+#[case::least_descriptors(Limits::with_a_third(192, 256))]
+#[tokio::test]
+async fn a_third_of_the_descriptors_is_served(#[case] limits: Limits) {
+    let ordinary = play(
+        "streams",
+        limits,
+        &[SlowClient::Reader { event_bytes: 1000 }],
+    )
+    .await;
+    ordinary.check_answered();
+    ordinary.check_served();
+}
+
+/// The least memory holds the slow clients that the platform lets connect, too.
+#[rstest]
+#[case::readers_of_small_chunks("small-chunks", &[SlowClient::Reader { event_bytes: 4 << 10 }])]
+#[case::half_heads("half-heads", &[SlowClient::HalfHead])]
+#[case::large_bodies("large-bodies", &[SlowClient::LargeBody])]
+#[tokio::test]
+async fn least_memory_holds_slow_clients(#[case] name: &str, #[case] kinds: &'static [SlowClient]) {
+    play(name, Limits::LEAST_MEMORY, kinds)
+        .await
+        .check_answered();
 }
--- a/tests/memory_limit/ordinary_clients.rs
+++ b/tests/memory_limit/ordinary_clients.rs
@@ -9,7 +9,8 @@
 use crate::common::client::Client;
 use crate::common::requests::request;
 
-const CLIENTS: usize = 8;
+/// The number of ordinary clients.
+pub const CLIENTS: usize = 8;
 const DEADLINE_MS: u64 = 1500;
 /// By the rules of the platform an answer that arrives later is lost.
 const LATE_AFTER: Duration = Duration::from_millis(DEADLINE_MS + 500);
