One process of a router owns the request ids, also while it is replaced

Cause: ids in use and ids of the last requests were known to one process. Change: with its acknowledgement of the takeover the old process hands over all ids and then asks the new one for each id; the new one announces what it takes, for the case that it fails. A silent owner costs a 503 after 0.25 s. Hashes have a key that both share; earlier versions get no new messages.

--- a/src/net/downstream/forwarding.rs
+++ b/src/net/downstream/forwarding.rs
@@ -13,9 +13,13 @@
 use crate::net::listener::{ReceivedBody, RequestOutcome};
 use crate::net::upstream::UpstreamRequest;
 use crate::ops::metrics::RequestOutcome as Outcome;
-use crate::request_ids::RequestIdGuard;
+use crate::request_ids::{ClaimError, RequestIdGuard};
 use serde::de::IgnoredAny;
 
+/// How long a request waits for the process that owns the ids, while two processes of the router
+/// run. Longer than a process is usually held up.
+const MAX_CLAIM_WAIT: Duration = Duration::from_millis(250);
+
 /// The answer to a request that no model server has served.
 struct Unserved {
     reply: Reply,
@@ -70,10 +74,10 @@
         let received = self.receive_body(&mut body, attributes.timeout).await?;
         // the id is acquired only once the request is complete: a client sends an incomplete
         // request again under the same id
-        let Some(id_guard) = self.context.request_ids.acquire(id) else {
-            let reply = Reply::new(409, "Conflict", "X-Trace-Id is in use");
-            return Err(RequestError::rejected(reply, body));
-        };
+        let id_guard = self
+            .claim_id(id, attributes.timeout)
+            .await
+            .map_err(|reply| RequestError::rejected(reply, body))?;
         self.connection.request_received();
         // the deadline counts from the last byte, however slowly the request arrived
         attributes.received_at = received.received_at;
@@ -98,6 +102,18 @@
             .await
     }
 
+    /// Claims the id of a request whose client waits for `timeout`, or returns the reply to it.
+    async fn claim_id(&self, id: &str, timeout: Duration) -> Result<RequestIdGuard, Reply> {
+        let limit = timeout.min(MAX_CLAIM_WAIT);
+        let claimed = self.context.request_ids.claim(id, limit).await;
+        claimed.map_err(|error| match error {
+            ClaimError::InUse => Reply::new(409, "Conflict", "X-Trace-Id is in use"),
+            ClaimError::OwnerSilent => {
+                Reply::unavailable("the router's other process does not answer")
+            }
+        })
+    }
+
     /// Receives the body of a request whose client waits for `timeout`. The body must be a JSON
     /// object: a wrong length may cut it short, and a model server would treat the remaining bytes
     /// as another request.
--- a/src/net/handover/adoption.rs
+++ b/src/net/handover/adoption.rs
@@ -4,11 +4,19 @@
 
 use super::Handover;
 use super::hello_reply::HelloReply;
+use super::subscription::Subscription;
 use crate::net::discovery::endpoint_list::EndpointList;
 
 impl Handover {
-    /// Takes over what the predecessor's reply has and this process lacks.
-    pub(super) async fn adopt(&self, reply: HelloReply) {
+    /// Takes over what the predecessor's reply has and this process lacks, and shares request ids
+    /// with the predecessor if it does.
+    pub(super) async fn adopt(&self, reply: HelloReply, subscription: &mut Subscription<'_>) {
+        let can_share = reply
+            .id_key
+            .is_some_and(|key| self.request_ids.adopt_key(key));
+        if can_share {
+            subscription.share_ids_with_predecessor();
+        }
         if let Some(maintenance) = &reply.maintenance {
             self.lifecycle.adopt(maintenance).await;
         }
--- a/src/net/handover/exchange.rs
+++ b/src/net/handover/exchange.rs
@@ -4,19 +4,19 @@
 use std::future::pending;
 
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::sleep;
 use tracing::{info, warn};
 
+use super::id_exchange::{MAX_IDS_IN_MESSAGE, announcements, answer_claim};
 use super::message::PeerMessage;
 use super::message_stream::{Connection, MessageReader, MessageWriter};
 use super::outgoing_transfers::OutgoingTransfers;
-use super::resource_amounts::{Resource, ResourceAmounts};
+use super::resource_amounts::ResourceAmounts;
 use super::session::{Effect, Peer, Session};
 use super::subscription::Subscription;
 use super::takeover::TakeoverAnnouncement;
 use super::{Handover, OUTGOING_QUEUE_LENGTH};
 use crate::lifecycle::{AdminCommand, CommandId, ForwardedCommand};
-use crate::net::listener::{REQUEST_CUTOFF_AFTER_SHUTDOWN, wait_until_set};
+use crate::request_ids::{IdChange, IdLink, IdRequest};
 
 impl Handover {
     /// Exchanges messages until the other process exits, and returns whether that process had taken
@@ -51,32 +51,6 @@
         }
         exchange.session.peer_took_over()
     }
-
-    /// Transfers half of the limits to a successor. Once the successor has taken over and this
-    /// process shuts down, also transfers the remaining client sockets. Never returns.
-    async fn transfer_limits(
-        &self,
-        peer: Peer,
-        transfer_sender: &mpsc::UnboundedSender<ResourceAmounts>,
-    ) {
-        if peer == Peer::Successor {
-            let half = self.limits.owned().half();
-            let transfer =
-                |resource, amount| self.limits.transfer(resource, amount, transfer_sender);
-            tokio::join!(
-                transfer(Resource::ClientSockets, half.client_sockets),
-                transfer(Resource::ServerSockets, half.server_sockets),
-                transfer(Resource::Memory, half.memory_kib),
-            );
-            wait_until_set(&mut self.shutdown.clone()).await;
-            wait_until_set(&mut self.successor_serving.subscribe()).await;
-            // until the cutoff, clients may still send requests on idle connections of this process
-            sleep(REQUEST_CUTOFF_AFTER_SHUTDOWN).await;
-            let remaining = self.limits.owned().client_sockets;
-            transfer(Resource::ClientSockets, remaining).await;
-        }
-        pending::<()>().await;
-    }
 }
 
 /// Writes queued messages until the connection fails.
@@ -94,17 +68,19 @@
     CommandRequested(ForwardedCommand),
     EndpointsChanged,
     LimitsReleased(ResourceAmounts),
+    IdRequested(IdRequest),
+    IdsChanged(Vec<IdChange>),
     TakeoverAnnounced(TakeoverAnnouncement),
 }
 
 /// One exchange with the other process.
-struct Exchange<'a> {
+pub(super) struct Exchange<'a> {
     handover: &'a Handover,
-    session: Session,
+    pub(super) session: Session,
     outgoing: mpsc::Sender<PeerMessage>,
     /// The changes for the other process. Dropped before `transfers`, so that the peer is
     /// unregistered before its limits return to this process.
-    subscription: Subscription<'a>,
+    pub(super) subscription: Subscription<'a>,
     transfers: OutgoingTransfers<'a>,
     announcement: Option<oneshot::Receiver<TakeoverAnnouncement>>,
 }
@@ -125,6 +101,12 @@
     /// failed.
     async fn next_event(&mut self, reader: &mut MessageReader) -> Option<ExchangeEvent> {
         let to_successor = self.session.peer_is_successor();
+        let Subscription {
+            commands,
+            endpoints,
+            ids,
+            ..
+        } = &mut self.subscription;
         let event = tokio::select! {
             received = reader.read() => match received {
                 Ok(message) => ExchangeEvent::Received(message?),
@@ -135,9 +117,10 @@
                     return None;
                 }
             },
-            Some(forward) = self.subscription.commands.recv() => ExchangeEvent::CommandRequested(forward),
-            Ok(()) = self.subscription.endpoints.changed(), if to_successor => ExchangeEvent::EndpointsChanged,
+            Some(forward) = commands.recv() => ExchangeEvent::CommandRequested(forward),
+            Ok(()) = endpoints.changed(), if to_successor => ExchangeEvent::EndpointsChanged,
             Some(amounts) = self.transfers.recv() => ExchangeEvent::LimitsReleased(amounts),
+            event = next_id_event(ids, to_successor) => event,
             announcement = next_announcement(&mut self.announcement) => ExchangeEvent::TakeoverAnnounced(announcement),
         };
         Some(event)
@@ -161,6 +144,8 @@
                 self.transfers.record(amounts);
                 vec![PeerMessage::LimitsTransferred(amounts)]
             }
+            ExchangeEvent::IdRequested(request) => vec![self.id_request(request)],
+            ExchangeEvent::IdsChanged(changes) => announcements(changes),
             ExchangeEvent::TakeoverAnnounced(TakeoverAnnouncement { acknowledged }) => {
                 vec![self.session.announce_takeover(acknowledged)]
             }
@@ -175,7 +160,15 @@
                 let succeeded = self.execute_command(command, key).await;
                 return vec![PeerMessage::AdminCommandResult { id, succeeded }];
             }
-            Effect::AdoptReply(reply) => self.handover.adopt(reply).await,
+            Effect::AdoptReply(reply) => {
+                self.handover.adopt(reply, &mut self.subscription).await;
+            }
+            Effect::RecordIds(ids) => self.subscription.ids.record(&ids),
+            Effect::ForgetIds(ids) => self.subscription.ids.forget(&ids),
+            Effect::ClaimId { number, id } => {
+                let ids = self.handover.request_ids.clone();
+                answer_claim(ids, number, id, self.outgoing.clone());
+            }
             Effect::UpdateEndpoints(list) => self.handover.adopt_endpoints(list).await,
             Effect::AddLimits(amounts) => self.handover.limits.add(amounts),
             Effect::YieldToSuccessor => return self.yield_to_successor(),
@@ -207,11 +200,23 @@
             let list = self.subscription.endpoints.borrow_and_update().clone();
             messages.extend(list.map(PeerMessage::EndpointsUpdated));
         }
+        messages.extend(self.yield_ids());
         messages.push(PeerMessage::TakeoverAcknowledged);
         messages
     }
 }
 
+/// Waits for a request to the owner of the ids, or for changes to announce. Cancel safe.
+async fn next_id_event(ids: &mut IdLink, to_successor: bool) -> ExchangeEvent {
+    if to_successor {
+        if let Some(request) = ids.next_request().await {
+            return ExchangeEvent::IdRequested(request);
+        }
+        return pending().await;
+    }
+    ExchangeEvent::IdsChanged(ids.next_changes(MAX_IDS_IN_MESSAGE).await)
+}
+
 /// Waits for the takeover announcement. Never returns if none is expected. Cancel safe.
 async fn next_announcement(
     pending_announcement: &mut Option<oneshot::Receiver<TakeoverAnnouncement>>,
--- a/src/net/handover/message.rs
+++ b/src/net/handover/message.rs
@@ -8,6 +8,7 @@
 use crate::lifecycle::{AdminCommand, CommandId};
 use crate::net::discovery::endpoint_list::EndpointList;
 use crate::ops::maintenance_state::MaintenanceState;
+use crate::request_ids::{IdHash, IdKey};
 
 /// A message between two processes of one router.
 #[derive(Debug, Serialize, Deserialize)]
@@ -17,6 +18,10 @@
     Hello {
         /// The version of the message format, [`super::PROTOCOL_VERSION`].
         version: u32,
+        /// Whether the successor takes part in the sharing of request ids. Missing in messages of
+        /// earlier versions.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        shares_ids: bool,
     },
     /// From the predecessor: the reply to [`PeerMessage::Hello`].
     #[serde(rename = "met")]
@@ -27,6 +32,9 @@
         /// The predecessor's current endpoint list.
         #[serde(rename = "list")]
         endpoints: Option<EndpointList>,
+        /// The key of the hashes of request ids. Missing in messages of earlier versions.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        id_key: Option<IdKey>,
     },
     /// From the predecessor: its new endpoint list.
     #[serde(rename = "list")]
@@ -40,6 +48,29 @@
     /// From the predecessor: the reply to [`PeerMessage::SuccessorServing`].
     #[serde(rename = "taken")]
     TakeoverAcknowledged,
+    /// Request ids that the sender has taken. To the successor: all of them, ahead of the
+    /// acknowledgement of its takeover. To the predecessor: new ones.
+    #[serde(rename = "ids")]
+    IdsTaken(Vec<IdHash>),
+    /// Request ids that are free again.
+    #[serde(rename = "free_ids")]
+    IdsReleased(Vec<IdHash>),
+    /// From the predecessor, after the takeover: asks for a request id.
+    #[serde(rename = "claim")]
+    IdClaimed {
+        /// Identifies the question. The answer contains the same number.
+        number: u64,
+        /// The id.
+        id: IdHash,
+    },
+    /// The reply to [`PeerMessage::IdClaimed`].
+    #[serde(rename = "claimed")]
+    IdClaimAnswered {
+        /// The question's number.
+        number: u64,
+        /// Whether the id was free.
+        granted: bool,
+    },
     /// An operator's command that both processes must execute.
     #[serde(rename = "call")]
     AdminCommand {
--- a/src/net/handover/message/tests.rs
+++ b/src/net/handover/message/tests.rs
@@ -17,15 +17,34 @@
 }
 
 #[rstest]
-#[case::hello(PeerMessage::Hello { version: 1 }, r#"{"hello":{"version":1}}"#)]
+#[case::hello(PeerMessage::Hello { version: 1, shares_ids: false }, r#"{"hello":{"version":1}}"#)]
 #[case::hello_acknowledged_without_endpoints(
-    PeerMessage::HelloAcknowledged { maintenance: MaintenanceState::default(), endpoints: None },
+    PeerMessage::HelloAcknowledged { maintenance: MaintenanceState::default(), endpoints: None, id_key: None },
     r#"{"met":{"orders":{"bans":[],"drained":false},"list":null}}"#
 )]
 #[case::hello_acknowledged(
-    PeerMessage::HelloAcknowledged { maintenance: maintenance(), endpoints: Some(list()) },
+    PeerMessage::HelloAcknowledged { maintenance: maintenance(), endpoints: Some(list()), id_key: None },
     &format!(r#"{{"met":{{"orders":{{"bans":[{{"name":"s-a","since":5}}],"drained":true}},"list":{LIST}}}}}"#)
 )]
+#[case::hello_with_ids(
+    PeerMessage::Hello { version: 1, shares_ids: true },
+    r#"{"hello":{"version":1,"shares_ids":true}}"#
+)]
+#[case::hello_acknowledged_with_key(
+    PeerMessage::HelloAcknowledged {
+        maintenance: MaintenanceState::default(),
+        endpoints: None,
+        id_key: Some(IdKey([1, u64::MAX])),
+    },
+    r#"{"met":{"orders":{"bans":[],"drained":false},"list":null,"id_key":[1,18446744073709551615]}}"#
+)]
+#[case::ids(PeerMessage::IdsTaken(vec![IdHash(1), IdHash(u64::MAX)]), r#"{"ids":[1,18446744073709551615]}"#)]
+#[case::free_ids(PeerMessage::IdsReleased(vec![IdHash(2)]), r#"{"free_ids":[2]}"#)]
+#[case::claim(PeerMessage::IdClaimed { number: 1, id: IdHash(2) }, r#"{"claim":{"number":1,"id":2}}"#)]
+#[case::claimed(
+    PeerMessage::IdClaimAnswered { number: 1, granted: true },
+    r#"{"claimed":{"number":1,"granted":true}}"#
+)]
 #[case::endpoints_updated(PeerMessage::EndpointsUpdated(list()), &format!(r#"{{"list":{LIST}}}"#))]
 #[case::limits_transferred(PeerMessage::LimitsTransferred([1, 20, 300].into()), r#"{"share":[1,20,300]}"#)]
 #[case::successor_serving(PeerMessage::SuccessorServing, r#""ready""#)]
--- a/src/net/handover/mod.rs
+++ b/src/net/handover/mod.rs
@@ -7,10 +7,11 @@
 //! - `rendezvous`: the router's folder with its socket and files;
 //! - `predecessor_link`, `hello_reply`: the connection from a starting process to its predecessor;
 //! - `takeover`: the successor's side; `successors`: the predecessor's side;
-//! - `exchange`, `session`, `message`, `message_stream`: the messages between the two processes;
+//! - `exchange`, `id_exchange`, `session`, `message`, `message_stream`: the messages between the two
+//!   processes;
 //! - `subscription`, `peer_registration`: the state and the changes that the other process is told;
 //! - `adoption`: state of a predecessor that reaches this process later than its start;
-//! - `limit_shares`, `resource_amounts`: the division of the limits between the two processes;
+//! - `limit_shares`, `limit_transfer`, `resource_amounts`: the division of the limits between the two processes;
 //! - `maintenance_file`: loads the maintenance state when there is no predecessor.
 //!
 //! `lifecycle` owns the maintenance state and writes its file. The platform passes the clients'
@@ -19,7 +20,9 @@
 mod adoption;
 mod exchange;
 mod hello_reply;
+mod id_exchange;
 mod limit_shares;
+mod limit_transfer;
 mod maintenance_file;
 mod message;
 mod message_stream;
@@ -41,6 +44,7 @@
 
 use super::discovery::endpoint_list::EndpointList;
 use crate::lifecycle::Lifecycle;
+use crate::request_ids::RequestIds;
 
 pub use limit_shares::LimitShares;
 pub use predecessor_link::PredecessorLink;
@@ -71,6 +75,8 @@
     pub endpoints: watch::Receiver<Option<EndpointList>>,
     /// Receives the endpoint lists of a predecessor.
     pub predecessor_lists: mpsc::Sender<EndpointList>,
+    /// The request ids of this process.
+    pub request_ids: RequestIds,
     /// Turns true when this process shuts down.
     pub shutdown: watch::Receiver<bool>,
     /// Whether a successor serves clients.
--- a/src/net/handover/predecessor_link.rs
+++ b/src/net/handover/predecessor_link.rs
@@ -126,11 +126,13 @@
         Some(PeerMessage::HelloAcknowledged {
             maintenance,
             endpoints,
+            id_key,
         }) => {
             info!("connected to the predecessor process");
             Ok(HelloReply {
                 maintenance: Some(maintenance),
                 endpoints,
+                id_key,
             })
         }
         Some(_) => Ok(missing_reply()),
@@ -148,6 +150,7 @@
 async fn exchange_hellos(connection: &mut Connection) -> Result<Option<PeerMessage>, MessageError> {
     let hello = PeerMessage::Hello {
         version: PROTOCOL_VERSION,
+        shares_ids: true,
     };
     connection.writer.write(&hello).await?;
     connection.reader.read().await
--- a/src/net/handover/predecessor_link/tests.rs
+++ b/src/net/handover/predecessor_link/tests.rs
@@ -40,6 +40,7 @@
             let answer = PeerMessage::HelloAcknowledged {
                 maintenance: MaintenanceState::default(),
                 endpoints: None,
+                id_key: None,
             };
             connection.writer.write(&answer).await.unwrap();
             open.push(connection);
--- a/src/net/handover/session.rs
+++ b/src/net/handover/session.rs
@@ -10,6 +10,7 @@
 use super::resource_amounts::ResourceAmounts;
 use crate::lifecycle::{AdminCommand, CommandId, ForwardedCommand};
 use crate::net::discovery::endpoint_list::EndpointList;
+use crate::request_ids::{IdClaim, IdHash};
 
 /// The role of the other process in a handover.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,6 +38,12 @@
     UpdateEndpoints(EndpointList),
     /// Add to this process's share of the limits.
     AddLimits(ResourceAmounts),
+    /// Record request ids that the peer has taken.
+    RecordIds(Vec<IdHash>),
+    /// Free request ids that the peer has released.
+    ForgetIds(Vec<IdHash>),
+    /// Take a request id for the predecessor and answer it.
+    ClaimId { number: u64, id: IdHash },
     /// Let the successor serve clients from now on, and acknowledge the takeover.
     YieldToSuccessor,
 }
@@ -47,6 +54,9 @@
     last_command_id: u64,
     /// Commands for which the peer hasn't sent a result yet.
     pending_commands: HashMap<u64, oneshot::Sender<bool>>,
+    last_claim: u64,
+    /// Questions for request ids that the peer hasn't answered yet.
+    pending_claims: HashMap<u64, oneshot::Sender<bool>>,
     /// Notified once the predecessor acknowledges the takeover.
     takeover_acknowledged: Option<oneshot::Sender<()>>,
     peer_took_over: bool,
@@ -58,6 +68,8 @@
             peer,
             last_command_id: 0,
             pending_commands: HashMap::new(),
+            last_claim: 0,
+            pending_claims: HashMap::new(),
             takeover_acknowledged: None,
             peer_took_over: false,
         }
@@ -84,11 +96,24 @@
                 PeerMessage::HelloAcknowledged {
                     maintenance,
                     endpoints,
+                    id_key,
                 },
             ) => Effect::AdoptReply(HelloReply {
                 maintenance: Some(maintenance),
                 endpoints,
+                id_key,
             }),
+            (_, PeerMessage::IdsTaken(ids)) => Effect::RecordIds(ids),
+            (_, PeerMessage::IdsReleased(ids)) => Effect::ForgetIds(ids),
+            (Peer::Predecessor, PeerMessage::IdClaimed { number, id }) => {
+                Effect::ClaimId { number, id }
+            }
+            (Peer::Successor, PeerMessage::IdClaimAnswered { number, granted }) => {
+                if let Some(claim) = self.pending_claims.remove(&number) {
+                    let _ = claim.send(granted);
+                }
+                Effect::Nothing
+            }
             (_, PeerMessage::AdminCommandResult { id, succeeded }) => {
                 if let Some(result) = self.pending_commands.remove(&id) {
                     let _ = result.send(succeeded);
@@ -130,6 +155,18 @@
         }
     }
 
+    /// Creates the message that asks the successor for a request id.
+    pub(super) fn claim_id(&mut self, claim: IdClaim) -> PeerMessage {
+        self.last_claim += 1;
+        self.pending_claims
+            .retain(|_, pending| !pending.is_closed());
+        self.pending_claims.insert(self.last_claim, claim.granted);
+        PeerMessage::IdClaimed {
+            number: self.last_claim,
+            id: claim.hash,
+        }
+    }
+
     /// Creates the message that tells the predecessor that this process serves clients.
     pub(super) fn announce_takeover(&mut self, acknowledged: oneshot::Sender<()>) -> PeerMessage {
         self.takeover_acknowledged = Some(acknowledged);
--- a/src/net/handover/session/tests.rs
+++ b/src/net/handover/session/tests.rs
@@ -1,7 +1,10 @@
+mod orders;
+
 use rstest::rstest;
 
 use super::*;
 use crate::ops::maintenance_state::MaintenanceState;
+use crate::request_ids::IdHash;
 
 fn list() -> EndpointList {
     serde_json::from_str(r#"{"revision":7}"#).unwrap()
@@ -24,11 +27,15 @@
 #[case::serving(PeerMessage::SuccessorServing, "Nothing", "YieldToSuccessor")]
 #[case::acknowledged(PeerMessage::TakeoverAcknowledged, "Nothing", "Nothing")]
 #[case::late_reply(
-    PeerMessage::HelloAcknowledged { maintenance: MaintenanceState::default(), endpoints: None },
+    PeerMessage::HelloAcknowledged { maintenance: MaintenanceState::default(), endpoints: None, id_key: None },
     "AdoptReply",
     "Nothing"
 )]
-#[case::late_hello(PeerMessage::Hello { version: 1 }, "Nothing", "Nothing")]
+#[case::ids_taken(PeerMessage::IdsTaken(vec![IdHash(1)]), "RecordIds", "RecordIds")]
+#[case::ids_released(PeerMessage::IdsReleased(vec![IdHash(1)]), "ForgetIds", "ForgetIds")]
+#[case::claim(PeerMessage::IdClaimed { number: 1, id: IdHash(1) }, "ClaimId", "Nothing")]
+#[case::claim_answered(PeerMessage::IdClaimAnswered { number: 1, granted: true }, "Nothing", "Nothing")]
+#[case::late_hello(PeerMessage::Hello { version: 1, shares_ids: true }, "Nothing", "Nothing")]
 fn message_effects_by_peer(
     #[case] message: PeerMessage,
     #[case] from_predecessor: &str,
--- /dev/null
+++ b/src/net/handover/session/tests/orders.rs
@@ -0,0 +1,352 @@
+//! Two processes of a router in random orders of commands, messages, takeover and deaths: a
+//! confirmed command is in effect at each process that serves.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, yield_now};
+
+use super::*;
+use crate::core::actor::{Core, CoreOptions};
+use crate::core::{Clock, Connector, CoreMessage, Endpoint, EndpointsUpdate, UpstreamCommand};
+use crate::interface::{EndpointListKind, ReplicaEntry, ReplicaId, Settings};
+use crate::lifecycle::{Lifecycle, PeerState, RegisteredPeer};
+use crate::ops::metrics::Metrics;
+
+const SCHEDULES: u64 = 400;
+const STEPS: usize = 40;
+/// The number of commands of a schedule. Each excludes another server.
+const COMMANDS: usize = 6;
+/// A process dies in one step of so many.
+const STEPS_PER_DEATH: u32 = 40;
+/// How often other tasks run between two steps, so that the cores answer.
+const TASK_TURNS: usize = 12;
+
+struct UnusedConnector;
+
+impl Connector for UnusedConnector {
+    fn open(&self, _: ReplicaId, _: &Endpoint) -> mpsc::Sender<UpstreamCommand> {
+        mpsc::channel(1).0
+    }
+}
+
+fn server(number: usize) -> String {
+    format!("s-{number}")
+}
+
+fn all_servers() -> EndpointsUpdate {
+    let endpoint = |number| Endpoint {
+        name: server(number),
+        address: String::new(),
+        entry: ReplicaEntry {
+            replica: ReplicaId::from_name(&server(number)),
+            ..Default::default()
+        },
+        models: None,
+    };
+    EndpointsUpdate {
+        kind: EndpointListKind::Complete,
+        endpoints: (0..COMMANDS).map(endpoint).collect(),
+    }
+}
+
+/// One process with its side of the link.
+struct Process {
+    lifecycle: Arc<Lifecycle>,
+    session: Session,
+    peer: Option<RegisteredPeer>,
+    is_serving: bool,
+    /// Operators' commands that wait for their answers.
+    commands: Vec<JoinHandle<()>>,
+}
+
+impl Process {
+    /// Starts a process whose other process is `peer`, with a state in wall-clock time.
+    async fn start(peer: Peer, state: MaintenanceState) -> Process {
+        let clock = Clock::start();
+        let state = state.on_clock(clock.wall_time(), clock.time_at(Instant::now()));
+        let exclusions = state.exclusions.iter();
+        let (core, messages) = Core::start(CoreOptions {
+            settings: Settings::default(),
+            seed: 1,
+            max_requests_in_flight: 1,
+            attempt_start_timeout: Duration::ZERO,
+            connector: Box::new(UnusedConnector),
+            discovery: mpsc::channel(1).0,
+            exclusions: exclusions
+                .map(|exclusion| (ReplicaId::from_name(&exclusion.name), exclusion.clone()))
+                .collect(),
+            metrics: Metrics::new(&[]).into(),
+        });
+        let list = CoreMessage::EndpointsUpdated(all_servers());
+        messages.send(list).await.unwrap();
+        let draining = watch::channel(None).0;
+        let is_serving = peer == Peer::Successor;
+        Process {
+            lifecycle: Lifecycle::new(core, draining, state, None, clock, is_serving),
+            session: Session::new(peer),
+            peer: None,
+            is_serving,
+            commands: Vec::new(),
+        }
+    }
+
+    /// The maintenance state, as the process writes it to its file.
+    async fn state(&self) -> MaintenanceState {
+        let (peer, state) = self.lifecycle.register_peer(PeerState::Joining).await;
+        self.lifecycle.unregister_peer(peer.id);
+        state
+    }
+
+    /// The message for the next command that is queued for the other process.
+    fn next_command(&mut self) -> Option<PeerMessage> {
+        let forwarded = self.peer.as_mut()?.commands.try_recv().ok()?;
+        Some(self.session.forward_command(forwarded))
+    }
+
+    async fn execute(&self, id: u64, command: AdminCommand, key: CommandId) -> PeerMessage {
+        let from = self.peer.as_ref().unwrap().id;
+        let succeeded = self.lifecycle.execute_for_peer(command, key, from).await;
+        PeerMessage::AdminCommandResult { id, succeeded }
+    }
+
+    async fn start_serving(&mut self) {
+        self.lifecycle.set_serving().await;
+        self.is_serving = true;
+    }
+
+    /// Notices that the other process has ended.
+    fn peer_exited(&mut self) {
+        if let Some(peer) = self.peer.take() {
+            self.lifecycle.unregister_peer(peer.id);
+        }
+        self.session = Session::new(Peer::Successor);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // a process that has died answers nobody
+        self.commands.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// A predecessor, its successor, and the messages between them.
+struct Play {
+    old: Option<Process>,
+    new: Option<Process>,
+    to_old: VecDeque<PeerMessage>,
+    to_new: VecDeque<PeerMessage>,
+    has_connected: bool,
+    announced: Option<oneshot::Receiver<()>>,
+    command_count: usize,
+    /// The servers whose exclusion was confirmed.
+    confirmed: Arc<Mutex<Vec<String>>>,
+}
+
+impl Play {
+    async fn start() -> Play {
+        Play {
+            old: Some(Process::start(Peer::Successor, MaintenanceState::default()).await),
+            new: None,
+            to_old: VecDeque::new(),
+            to_new: VecDeque::new(),
+            has_connected: false,
+            announced: None,
+            command_count: 0,
+            confirmed: Arc::default(),
+        }
+    }
+
+    /// An operator excludes a server at the old or at the new process.
+    fn command(&mut self, at_new: bool) {
+        let process = if at_new { &mut self.new } else { &mut self.old };
+        let Some(process) = process.as_mut().filter(|_| self.command_count < COMMANDS) else {
+            return;
+        };
+        let name = server(self.command_count);
+        self.command_count += 1;
+        let (lifecycle, confirmed) = (process.lifecycle.clone(), self.confirmed.clone());
+        process.commands.push(tokio::spawn(async move {
+            let command = AdminCommand::Disable(name.clone());
+            if lifecycle.execute(command).await.is_ok() {
+                confirmed.lock().unwrap().push(name);
+            }
+        }));
+    }
+
+    /// The new process says hello, and the old one replies.
+    async fn connect(&mut self) {
+        let Some(old) = self.old.as_mut().filter(|_| !self.has_connected) else {
+            return;
+        };
+        self.has_connected = true;
+        let (peer, maintenance) = old.lifecycle.register_peer(PeerState::Joining).await;
+        old.peer = Some(peer);
+        self.to_new.push_back(PeerMessage::HelloAcknowledged {
+            maintenance,
+            endpoints: None,
+            id_key: None,
+        });
+    }
+
+    fn send_command(&mut self, to_new: bool) {
+        let (process, messages) = if to_new {
+            (&mut self.old, &mut self.to_new)
+        } else {
+            (&mut self.new, &mut self.to_old)
+        };
+        let command = process.as_mut().and_then(Process::next_command);
+        messages.extend(command);
+    }
+
+    async fn deliver_to_new(&mut self) {
+        let Some(message) = self.to_new.pop_front() else {
+            return;
+        };
+        if let PeerMessage::HelloAcknowledged { maintenance, .. } = message {
+            let mut new = Process::start(Peer::Predecessor, maintenance).await;
+            new.peer = Some(new.lifecycle.register_peer(PeerState::Serving).await.0);
+            self.new = Some(new);
+            return;
+        }
+        let Some(new) = &mut self.new else { return };
+        if let Effect::ExecuteCommand { id, command, key } = new.session.receive(message) {
+            self.to_old
+                .push_back(new.execute(id, command, key.unwrap()).await);
+        }
+        let acknowledged = self.announced.as_mut();
+        if acknowledged.is_some_and(|acknowledged| acknowledged.try_recv().is_ok()) {
+            new.start_serving().await;
+            self.check().await;
+        }
+    }
+
+    async fn deliver_to_old(&mut self) {
+        let Some(old) = &mut self.old else { return };
+        let Some(message) = self.to_old.pop_front() else {
+            return;
+        };
+        match old.session.receive(message) {
+            Effect::ExecuteCommand { id, command, key } => {
+                self.to_new
+                    .push_back(old.execute(id, command, key.unwrap()).await);
+            }
+            Effect::YieldToSuccessor => {
+                old.lifecycle.peer_serves(old.peer.as_ref().unwrap().id);
+                self.to_new
+                    .extend(std::iter::from_fn(|| old.next_command()));
+                self.to_new.push_back(PeerMessage::TakeoverAcknowledged);
+            }
+            _ => {}
+        }
+    }
+
+    fn announce(&mut self) {
+        let Some(new) = self.new.as_mut().filter(|_| self.announced.is_none()) else {
+            return;
+        };
+        let (acknowledged, announced) = oneshot::channel();
+        let message = new.session.announce_takeover(acknowledged);
+        self.to_old.push_back(message);
+        self.announced = Some(announced);
+    }
+
+    /// The old process dies. What it has written to the link still arrives, and its file has all
+    /// that it had in effect.
+    async fn kill_old(&mut self) {
+        if self.new.is_none() {
+            return;
+        }
+        let Some(old) = self.old.take() else { return };
+        let stored = old.state().await;
+        drop(old);
+        while !self.to_new.is_empty() {
+            self.deliver_to_new().await;
+        }
+        let new = self.new.as_mut().unwrap();
+        new.peer_exited();
+        if !new.is_serving {
+            new.lifecycle.adopt(&stored).await;
+            new.start_serving().await;
+        }
+        self.check().await;
+    }
+
+    /// The new process dies, and the old one goes on.
+    async fn kill_new(&mut self) {
+        if self.old.is_none() || self.new.take().is_none() {
+            return;
+        }
+        self.to_new.clear();
+        self.to_old.clear();
+        self.announced = None;
+        self.has_connected = false;
+        self.old.as_mut().unwrap().peer_exited();
+    }
+
+    async fn step(&mut self, rng: &mut StdRng) {
+        if rng.random_range(0..STEPS_PER_DEATH) == 0 {
+            match rng.random() {
+                true => self.kill_old().await,
+                false => self.kill_new().await,
+            }
+        }
+        match rng.random_range(0..8) {
+            0 => self.command(false),
+            1 => self.command(true),
+            2 => self.connect().await,
+            3 => self.send_command(true),
+            4 => self.send_command(false),
+            5 => self.deliver_to_new().await,
+            6 => self.deliver_to_old().await,
+            _ => self.announce(),
+        }
+        for _ in 0..TASK_TURNS {
+            yield_now().await;
+        }
+    }
+
+    /// Asserts that each process that serves has every confirmed command in effect.
+    async fn check(&self) {
+        let confirmed = self.confirmed.lock().unwrap().clone();
+        for process in [&self.old, &self.new].into_iter().flatten() {
+            if !process.is_serving {
+                continue;
+            }
+            let exclusions = process.state().await.exclusions;
+            for name in &confirmed {
+                let is_excluded = exclusions.iter().any(|exclusion| exclusion.name == *name);
+                assert!(
+                    is_excluded,
+                    "{name} was confirmed; in effect: {exclusions:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against a gap between the copy of the state and the changes after it, in any order.
+#[tokio::test]
+async fn confirmed_commands_are_in_effect_in_any_order() {
+    let (mut takeovers, mut confirmed) = (0, 0);
+    for seed in 0..SCHEDULES {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut play = Play::start().await;
+        for _ in 0..STEPS {
+            play.step(&mut rng).await;
+            play.check().await;
+        }
+        takeovers += usize::from(play.new.as_ref().is_some_and(|new| new.is_serving));
+        confirmed += play.confirmed.lock().unwrap().len();
+    }
+    // the schedules reach the states that the test is about
+    assert!(
+        takeovers > 20 && confirmed > 200,
+        "{takeovers}, {confirmed}"
+    );
+}
--- a/src/net/handover/subscription.rs
+++ b/src/net/handover/subscription.rs
@@ -8,6 +8,7 @@
 use super::session::Peer;
 use crate::lifecycle::PeerState;
 use crate::net::discovery::endpoint_list::EndpointList;
+use crate::request_ids::IdLink;
 
 /// The changes that the other process has to be told of.
 pub(super) struct Subscription<'a> {
@@ -15,6 +16,20 @@
     pub(super) commands: PeerRegistration<'a>,
     /// Endpoint lists.
     pub(super) endpoints: watch::Receiver<Option<EndpointList>>,
+    /// Request ids.
+    pub(super) ids: IdLink,
+    /// Whether the other process takes part in the sharing of request ids.
+    pub(super) shares_ids: bool,
+}
+
+impl Subscription<'_> {
+    /// Announces the request ids of this process to its predecessor from now on.
+    pub(super) fn share_ids_with_predecessor(&mut self) {
+        if !self.shares_ids {
+            self.shares_ids = true;
+            self.ids.announce_changes();
+        }
+    }
 }
 
 impl Handover {
@@ -31,10 +46,13 @@
         let reply = HelloReply {
             maintenance: Some(maintenance),
             endpoints: endpoints.borrow_and_update().clone(),
+            id_key: Some(self.request_ids.key()),
         };
         let subscription = Subscription {
             commands,
             endpoints,
+            ids: IdLink::open(&self.request_ids),
+            shares_ids: false,
         };
         (subscription, reply)
     }
--- a/src/net/handover/successors.rs
+++ b/src/net/handover/successors.rs
@@ -56,18 +56,22 @@
     /// Exchanges messages with one successor until either process exits.
     async fn serve_successor(&self, stream: UnixStream) {
         let mut connection = Connection::new(stream);
-        match timeout(PEER_TIMEOUT, connection.reader.read()).await {
-            Ok(Ok(Some(PeerMessage::Hello {
-                version: PROTOCOL_VERSION,
-            }))) => {}
-            _ => return warn!("a process sent no hello of this version; closing its connection"),
-        }
+        let hello = timeout(PEER_TIMEOUT, connection.reader.read()).await;
+        let Ok(Ok(Some(PeerMessage::Hello {
+            version: PROTOCOL_VERSION,
+            shares_ids,
+        }))) = hello
+        else {
+            return warn!("a process sent no hello of this version; closing its connection");
+        };
         info!("a successor process has connected");
-        let (subscription, state) = self.subscribe(Peer::Successor).await;
+        let (mut subscription, state) = self.subscribe(Peer::Successor).await;
         let acknowledged = PeerMessage::HelloAcknowledged {
             maintenance: state.maintenance.unwrap_or_default(),
             endpoints: state.endpoints,
+            id_key: state.id_key,
         };
+        subscription.shares_ids = shares_ids;
         if connection.writer.write(&acknowledged).await.is_err() {
             return;
         }
--- a/src/net/handover/takeover.rs
+++ b/src/net/handover/takeover.rs
@@ -70,8 +70,8 @@
         let mut next_link = Some(link);
         while let Some(link) = next_link.take() {
             let PredecessorLink { connection, reply } = link;
-            let (subscription, _) = self.subscribe(Peer::Predecessor).await;
-            self.adopt(reply).await;
+            let (mut subscription, _) = self.subscribe(Peer::Predecessor).await;
+            self.adopt(reply, &mut subscription).await;
             self.exchange(
                 Peer::Predecessor,
                 connection,
--- a/src/request_ids/tests.rs
+++ b/src/request_ids/tests.rs
@@ -1,3 +1,4 @@
+use super::table::REMEMBERED_IDS;
 use super::*;
 
 /// The number of requests that a busy router serves while clients may still repeat an earlier one:
@@ -21,7 +22,7 @@
         drop(ids.acquire(&number.to_string()));
     }
     assert!(ids.acquire("0").is_some());
-    assert!(ids.lock().taken.len() <= REMEMBERED_IDS + 1);
+    assert!(ids.lock().table.len() <= REMEMBERED_IDS + 1);
 }
 
 #[test]
--- a/src/router/open/handover.rs
+++ b/src/router/open/handover.rs
@@ -7,6 +7,7 @@
 use super::actors::Actors;
 use super::predecessor::StartState;
 use crate::net::handover::{Handover, LimitShares};
+use crate::request_ids::RequestIds;
 use crate::router::HandoverStart;
 
 /// Returns this process's side of handovers; `None` if the process takes part in none. `shutdown`
@@ -16,6 +17,7 @@
     state: StartState,
     actors: Actors,
     limits: Arc<LimitShares>,
+    request_ids: RequestIds,
     shutdown: watch::Receiver<bool>,
     successor_serving: watch::Sender<bool>,
 ) -> Option<HandoverStart> {
@@ -25,6 +27,7 @@
         limits,
         endpoints: actors.endpoints,
         predecessor_lists: actors.predecessor_lists,
+        request_ids,
         shutdown,
         successor_serving,
         rebind: Notify::new(),
--- a/src/router/open/mod.rs
+++ b/src/router/open/mod.rs
@@ -80,7 +80,7 @@
     let request_ids = RequestIds::default();
     let batch =
         fronts::open_batch(batch, &config, &actors, &listener_context, &request_ids).await?;
-    let front = fronts::platform_front(&config, &actors, &limits, request_ids);
+    let front = fronts::platform_front(&config, &actors, &limits, request_ids.clone());
     fronts::log_addresses(&config, &listeners.platform, &listeners.admin);
     let lifecycle = actors.lifecycle.clone();
     let admin = |listener| AdminFront::new(lifecycle, listener);
@@ -94,6 +94,7 @@
             state,
             actors,
             limits,
+            request_ids,
             listener_context.shutting_down.clone(),
             successor_serving,
         ),
--- a/tests/common/scripted_peer.rs
+++ b/tests/common/scripted_peer.rs
@@ -117,6 +117,11 @@
         self.seen.lock().unwrap().len()
     }
 
+    /// Returns the number of requests in flight now.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of requests with this id that the peer received.
     pub fn requests_under(&self, id: &str) -> usize {
         let seen = self.seen.lock().unwrap();
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -9,5 +9,6 @@
 mod list_handover;
 mod maintenance_state;
 mod processes;
+mod request_ids;
 mod scripted_process;
 mod takeover;
--- a/tests/upgrade/scripted_process.rs
+++ b/tests/upgrade/scripted_process.rs
@@ -34,9 +34,16 @@
 
     /// Connects as a successor and sends the hello. Reads nothing yet.
     pub async fn successor(platform: &Platform) -> ScriptedProcess {
+        ScriptedProcess::successor_with(platform, &json!({})).await
+    }
+
+    /// Connects as a successor whose hello has these further fields.
+    pub async fn successor_with(platform: &Platform, fields: &Value) -> ScriptedProcess {
         let stream = UnixStream::connect(platform.folder.path(SOCKET)).await;
         let mut process = ScriptedProcess::new(stream.unwrap());
-        process.send(&json!({"hello": {"version": 1}})).await;
+        let mut hello = fields.clone();
+        hello["version"] = 1.into();
+        process.send(&json!({"hello": hello})).await;
         process
     }
 
