--- a/tests/memory_limit/main.rs
+++ b/tests/memory_limit/main.rs
@@ -53,7 +53,7 @@
     const LEAST_MEMORY: Limits = Limits::with_a_third(MIN_MEMORY_MIB as u64, 1024);
 
     /// Other limits on memory may be tried by hand.
-    fn from_environment(self) -> Limits {
+    fn overridden(self) -> Limits {
         let limit = std::env::var("MEMORY_MIB").ok();
         limit.map_or(self, |limit| Limits {
             memory_mib: limit.parse().unwrap(),
@@ -120,7 +120,7 @@
 
 /// Plays hundreds of slow clients, which take turns through the given kinds, beside ordinary ones.
 async fn play(name: &str, limits: Limits, kinds: &'static [SlowClient]) -> Answers {
-    let limits = limits.from_environment();
+    let limits = limits.overridden();
     let servers = start_servers().await;
     let scratch_name = format!("memory-{name}-{}-{}", limits.memory_mib, limits.descriptors);
     let (mut process, address) = start_router(&servers, limits, &scratch_name).await;
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -6,6 +6,7 @@
 
 mod confirmed_commands;
 mod descriptors;
+mod least_limits;
 mod list_handover;
 mod maintenance_state;
 mod processes;
