A process that starts does not take the limits of the process that serves

What callers saw: beside a new process that had connected and did not serve yet, 0 of 88 requests were served with a third of the descriptors in use; in an ordinary replacement requests that the old process had read were rejected after 0.4 s (7 of 399). Cause: half of all limits went to the new process at its connect, free ones first, and client and server sockets apart. Ruled out: the new process's limits (no rejected request in its log), the bound on the wait for a permit (one or two connections). Change: a 32nd at the connect, the rest of the half at the takeover, and with each part of the client sockets as many server sockets; the old process accepts no connections while the new one serves.

--- a/src/net/discovery/watcher.rs
+++ b/src/net/discovery/watcher.rs
@@ -14,6 +14,7 @@
 
 mod failure_log;
 mod options;
+mod report;
 
 use std::time::Duration;
 
@@ -27,16 +28,13 @@
 use crate::interface::EndpointListKind;
 
 pub use options::{MAX_TIMEOUT_RETRY_DELAY, Options};
+use report::{CoreStopped, report};
 
 /// Delay before the next poll after a failure if discovery pushes its list. It prevents a tight
 /// loop of polls when the agent refuses connections. It is short because a change applies to this
 /// router as soon as the agent has received it.
 const PUSH_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// The core has stopped and no longer needs the list.
-#[derive(Debug)]
-struct CoreStopped;
-
 /// The next step of the watcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NextStep {
@@ -245,12 +243,3 @@
         self.client = DiscoveryClient::default();
     }
 }
-
-async fn report(
-    core: &mpsc::Sender<CoreMessage>,
-    list: EndpointsUpdate,
-) -> Result<(), CoreStopped> {
-    core.send(CoreMessage::EndpointsUpdated(list))
-        .await
-        .map_err(|_| CoreStopped)
-}
--- a/src/net/handover/limit_shares.rs
+++ b/src/net/handover/limit_shares.rs
@@ -94,17 +94,56 @@
     ) {
         let mut remaining = amount;
         while remaining > 0 {
-            let released = self.release(resource, remaining).await;
-            if released == 0 {
+            let transferred = self
+                .transfer_part(resource, remaining, transfer_sender)
+                .await;
+            if transferred == 0 {
                 return;
             }
-            remaining -= released;
-            *self.lock_owned().get_mut(resource) -= released;
-            let released = ResourceAmounts::of(resource, released);
-            if transfer_sender.send(released).is_err() {
-                return self.add(released);
+            remaining -= transferred;
+        }
+    }
+
+    /// Transfers `amount` of the client sockets, and with each part as many model server sockets:
+    /// each client that stays needs one.
+    pub(super) async fn transfer_connections(
+        &self,
+        amount: usize,
+        transfer_sender: &mpsc::UnboundedSender<ResourceAmounts>,
+    ) {
+        let mut remaining = amount;
+        while remaining > 0 {
+            let transferred = self
+                .transfer_part(Resource::ClientSockets, remaining, transfer_sender)
+                .await;
+            if transferred == 0 {
+                return;
             }
+            remaining -= transferred;
+            self.transfer(Resource::ServerSockets, transferred, transfer_sender)
+                .await;
+        }
+    }
+
+    /// Transfers the first part of at most `max_amount` of a resource that becomes free, and
+    /// returns its amount. Returns 0 if the limit or the receiver is closed.
+    async fn transfer_part(
+        &self,
+        resource: Resource,
+        max_amount: usize,
+        transfer_sender: &mpsc::UnboundedSender<ResourceAmounts>,
+    ) -> usize {
+        let released = self.release(resource, max_amount).await;
+        if released == 0 {
+            return 0;
+        }
+        *self.lock_owned().get_mut(resource) -= released;
+        let amounts = ResourceAmounts::of(resource, released);
+        if transfer_sender.send(amounts).is_err() {
+            self.add(amounts);
+            return 0;
         }
+        released
     }
 
     /// Removes between one unit and `max_amount` of a resource from the current limit, and returns
--- a/src/net/handover/limit_transfer.rs
+++ b/src/net/handover/limit_transfer.rs
@@ -10,30 +10,45 @@
 use super::session::Peer;
 use crate::net::listener::{REQUEST_CUTOFF_AFTER_SHUTDOWN, wait_until_set};
 
+/// A successor that does not serve yet gets the limits divided by this.
+const FIRST_SHARE_DIVISOR: usize = 32;
+
 impl Handover {
-    /// Transfers half of the limits to a successor. Once the successor has taken over and this
-    /// process shuts down, also transfers the remaining client sockets. Never returns.
+    /// Transfers limits to a successor: a small share at once, so that it can start, half once it
+    /// serves, and the remaining connections once this process shuts down. Until the successor
+    /// serves, this process needs the rest for its own clients. Never returns.
     pub(super) async fn transfer_limits(
         &self,
         peer: Peer,
         transfer_sender: &mpsc::UnboundedSender<ResourceAmounts>,
     ) {
         if peer == Peer::Successor {
-            let half = self.limits.owned().half();
-            let transfer =
-                |resource, amount| self.limits.transfer(resource, amount, transfer_sender);
-            tokio::join!(
-                transfer(Resource::ClientSockets, half.client_sockets),
-                transfer(Resource::ServerSockets, half.server_sockets),
-                transfer(Resource::Memory, half.memory_kib),
-            );
-            wait_until_set(&mut self.shutdown.clone()).await;
+            let owned = self.limits.owned();
+            let first = owned.part(FIRST_SHARE_DIVISOR);
+            self.transfer_all(first, transfer_sender).await;
             wait_until_set(&mut self.successor_serving.subscribe()).await;
+            let rest = owned.half().combine(first, usize::saturating_sub);
+            self.transfer_all(rest, transfer_sender).await;
+            wait_until_set(&mut self.shutdown.clone()).await;
             // until the cutoff, clients may still send requests on idle connections of this process
             sleep(REQUEST_CUTOFF_AFTER_SHUTDOWN).await;
             let remaining = self.limits.owned().client_sockets;
-            transfer(Resource::ClientSockets, remaining).await;
+            self.limits
+                .transfer_connections(remaining, transfer_sender)
+                .await;
         }
         pending::<()>().await;
     }
+
+    async fn transfer_all(
+        &self,
+        amounts: ResourceAmounts,
+        transfer_sender: &mpsc::UnboundedSender<ResourceAmounts>,
+    ) {
+        let limits = &self.limits;
+        tokio::join!(
+            limits.transfer_connections(amounts.client_sockets, transfer_sender),
+            limits.transfer(Resource::Memory, amounts.memory_kib, transfer_sender),
+        );
+    }
 }
--- a/src/net/handover/resource_amounts.rs
+++ b/src/net/handover/resource_amounts.rs
@@ -61,6 +61,16 @@
             memory_kib: self.memory_kib / 2,
         }
     }
+
+    /// Each amount divided by `divisor`, and at least one of each.
+    pub(super) fn part(self, divisor: usize) -> ResourceAmounts {
+        let part = |amount: usize| (amount / divisor).max(1);
+        ResourceAmounts {
+            client_sockets: part(self.client_sockets),
+            server_sockets: part(self.server_sockets),
+            memory_kib: part(self.memory_kib),
+        }
+    }
 }
 
 impl std::ops::Add for ResourceAmounts {
--- a/src/net/handover/session/tests/orders.rs
+++ b/src/net/handover/session/tests/orders.rs
@@ -1,21 +1,18 @@
 //! Two processes of a router in random orders of commands, messages, takeover and deaths: a
 //! confirmed command is in effect at each process that serves.
 
+mod process;
+
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use tokio::sync::{mpsc, watch};
-use tokio::task::{JoinHandle, yield_now};
+use tokio::task::yield_now;
 
 use super::*;
-use crate::core::actor::{Core, CoreOptions};
-use crate::core::{Clock, Connector, CoreMessage, Endpoint, EndpointsUpdate, UpstreamCommand};
-use crate::interface::{EndpointListKind, ReplicaEntry, ReplicaId, Settings};
-use crate::lifecycle::{Lifecycle, PeerState, RegisteredPeer};
-use crate::ops::metrics::Metrics;
+use crate::lifecycle::PeerState;
+use process::{Process, server};
 
 const SCHEDULES: u64 = 400;
 const STEPS: usize = 40;
@@ -26,115 +23,6 @@
 /// How often other tasks run between two steps, so that the cores answer.
 const TASK_TURNS: usize = 12;
 
-struct UnusedConnector;
-
-impl Connector for UnusedConnector {
-    fn open(&self, _: ReplicaId, _: &Endpoint) -> mpsc::Sender<UpstreamCommand> {
-        mpsc::channel(1).0
-    }
-}
-
-fn server(number: usize) -> String {
-    format!("s-{number}")
-}
-
-fn all_servers() -> EndpointsUpdate {
-    let endpoint = |number| Endpoint {
-        name: server(number),
-        address: String::new(),
-        entry: ReplicaEntry {
-            replica: ReplicaId::from_name(&server(number)),
-            ..Default::default()
-        },
-        models: None,
-    };
-    EndpointsUpdate {
-        kind: EndpointListKind::Complete,
-        endpoints: (0..COMMANDS).map(endpoint).collect(),
-    }
-}
-
-/// One process with its side of the link.
-struct Process {
-    lifecycle: Arc<Lifecycle>,
-    session: Session,
-    peer: Option<RegisteredPeer>,
-    is_serving: bool,
-    /// Operators' commands that wait for their answers.
-    commands: Vec<JoinHandle<()>>,
-}
-
-impl Process {
-    /// Starts a process whose other process is `peer`, with a state in wall-clock time.
-    async fn start(peer: Peer, state: MaintenanceState) -> Process {
-        let clock = Clock::start();
-        let state = state.on_clock(clock.wall_time(), clock.time_at(Instant::now()));
-        let exclusions = state.exclusions.iter();
-        let (core, messages) = Core::start(CoreOptions {
-            settings: Settings::default(),
-            seed: 1,
-            max_requests_in_flight: 1,
-            attempt_start_timeout: Duration::ZERO,
-            connector: Box::new(UnusedConnector),
-            discovery: mpsc::channel(1).0,
-            exclusions: exclusions
-                .map(|exclusion| (ReplicaId::from_name(&exclusion.name), exclusion.clone()))
-                .collect(),
-            metrics: Metrics::new(&[]).into(),
-        });
-        let list = CoreMessage::EndpointsUpdated(all_servers());
-        messages.send(list).await.unwrap();
-        let draining = watch::channel(None).0;
-        let is_serving = peer == Peer::Successor;
-        Process {
-            lifecycle: Lifecycle::new(core, draining, state, None, clock, is_serving),
-            session: Session::new(peer),
-            peer: None,
-            is_serving,
-            commands: Vec::new(),
-        }
-    }
-
-    /// The maintenance state, as the process writes it to its file.
-    async fn state(&self) -> MaintenanceState {
-        let (peer, state) = self.lifecycle.register_peer(PeerState::Joining).await;
-        self.lifecycle.unregister_peer(peer.id);
-        state
-    }
-
-    /// The message for the next command that is queued for the other process.
-    fn next_command(&mut self) -> Option<PeerMessage> {
-        let forwarded = self.peer.as_mut()?.commands.try_recv().ok()?;
-        Some(self.session.forward_command(forwarded))
-    }
-
-    async fn execute(&self, id: u64, command: AdminCommand, key: CommandId) -> PeerMessage {
-        let from = self.peer.as_ref().unwrap().id;
-        let succeeded = self.lifecycle.execute_for_peer(command, key, from).await;
-        PeerMessage::AdminCommandResult { id, succeeded }
-    }
-
-    async fn start_serving(&mut self) {
-        self.lifecycle.set_serving().await;
-        self.is_serving = true;
-    }
-
-    /// Notices that the other process has ended.
-    fn peer_exited(&mut self) {
-        if let Some(peer) = self.peer.take() {
-            self.lifecycle.unregister_peer(peer.id);
-        }
-        self.session = Session::new(Peer::Successor);
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // a process that has died answers nobody
-        self.commands.iter().for_each(JoinHandle::abort);
-    }
-}
-
 /// A predecessor, its successor, and the messages between them.
 struct Play {
     old: Option<Process>,
--- a/src/net/listener/acceptor.rs
+++ b/src/net/listener/acceptor.rs
@@ -97,10 +97,15 @@
 
     async fn next_stream(&mut self) -> Option<TcpStream> {
         let mut replacement = self.context.clone();
+        let mut succession = self.context.clone();
         let mut shutdown = self.context.clone();
         // checked each time, so that a flood of connections or errors can't hide the shutdown
         while !self.has_stopped() {
             tokio::task::coop::consume_budget().await;
+            if *self.context.replaced.borrow() {
+                succession.wait_while_succeeded().await;
+                self.queue_empty_at = Instant::now();
+            }
             // calls the system directly, because the runtime also reports an empty queue to a task
             // that has used up its cooperative budget
             match self.listener.accept_queued() {
@@ -119,6 +124,7 @@
                     info!("shutting down: another process accepts the connections");
                     return None;
                 }
+                () = succession.wait_until_succeeded() => continue,
                 accepted = self.listener.accept() => accepted,
                 // last, so that connections that have arrived by then are accepted first
                 () = shutdown.wait_after_shutdown_observed(ACCEPT_PERIOD_AFTER_SHUTDOWN) => {
--- a/src/net/listener/context.rs
+++ b/src/net/listener/context.rs
@@ -99,6 +99,24 @@
         }
     }
 
+    /// Waits until another process accepts the connections in place of this one, although this one
+    /// is not shutting down.
+    pub(super) async fn wait_until_succeeded(&mut self) {
+        wait_until_set(&mut self.replaced).await;
+        if self.is_shutting_down() || !*self.replaced.borrow() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Waits while another process accepts the connections: until that process has ended, or this
+    /// one shuts down.
+    pub(super) async fn wait_while_succeeded(&mut self) {
+        tokio::select! {
+            _ = self.replaced.wait_for(|&replaced| !replaced) => {}
+            () = wait_until_set(&mut self.shutting_down) => {}
+        }
+    }
+
     /// Whether the process is shutting down and another process accepts the connections.
     pub(super) fn is_replaced(&self) -> bool {
         self.is_shutting_down() && *self.replaced.borrow()
--- a/src/router/open/fronts.rs
+++ b/src/router/open/fronts.rs
@@ -29,9 +29,11 @@
     let Some(options) = options else {
         return Ok(None);
     };
-    // a drain affects the platform's clients only: no other router can serve this one's batch jobs
+    // a drain affects the platform's clients only: no other router can serve this one's batch jobs;
+    // nor does a successor accept this front's clients
     let listener_context = ListenerContext {
         drained: watch::channel(None).1,
+        replaced: watch::channel(false).1,
         ..listener_context.clone()
     };
     let edge_access = actors.edge.clone().map(|edge| EdgeAccess {
--- a/tests/upgrade/least_limits.rs
+++ b/tests/upgrade/least_limits.rs
@@ -11,6 +11,7 @@
 use crate::common::memory_peak::MemoryPeak;
 use crate::common::peers::*;
 use crate::processes::*;
+use crate::scripted_process::ScriptedProcess;
 
 const MEMORY_MIB: u64 = 32;
 /// The clients that ask for short answers.
@@ -118,3 +119,27 @@
     );
     assert!(peaks.iter().sum::<u64>() < MEMORY_MIB, "{peaks:?} MiB");
 }
+
+/// Guards against a successor that takes the limits of the process that serves: it starts slowly,
+/// and until it serves the other one needs the room for its clients.
+#[tokio::test]
+async fn slow_successor_leaves_room_for_clients() {
+    let descriptors = 256;
+    let server = start_streaming_server().await;
+    let platform = Platform::new(config_with(&server.address, descriptors));
+    let process = platform.start().await;
+    process.wait_until_ready().await;
+    let _clients = open_streams(&platform, &server, descriptors / 3 - HINT_CLIENTS).await;
+    let mut successor = ScriptedProcess::successor(&platform).await;
+    successor.receive("share").await;
+    let address = platform.clients_address();
+    let statuses = join_all((0..HINT_CLIENTS).map(|_| ask_hints(&address))).await;
+    let statuses = statuses.concat();
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    println!("{served} of {} served", statuses.len());
+    assert!(
+        served * 10 > statuses.len() * 9,
+        "{served} of {}",
+        statuses.len()
+    );
+}
--- a/tests/upgrade/request_ids.rs
+++ b/tests/upgrade/request_ids.rs
@@ -205,14 +205,16 @@
     let platform = Platform::new(config);
     let old = platform.start().await;
     old.wait_until_ready().await;
+    let mut kept = Client::new(&platform.clients_address()).await;
+    let first = kept.call(&request_with(&fresh_id())).await;
+    assert_eq!(first.head.status, 200);
     let mut new = ScriptedProcess::successor_with(&platform, &json!({"shares_ids": true})).await;
     new.receive("met").await;
     new.send(&"ready".into()).await;
     new.receive("taken").await;
     let id = fresh_id();
     let asked = Instant::now();
-    let answer = call_once(&platform.clients_address(), &request_with(&id)).await;
-    assert_eq!(answer.head.status, 503);
+    assert_eq!(kept.call(&request_with(&id)).await.head.status, 503);
     assert!(
         asked.elapsed() < Duration::from_secs(1),
         "{:?}",
