A replaced process leaves the connections of its last moments to the new one

Cause: woken by its shutdown signal, the old process took one more connection from the queue that it shares with the new process, although its permits had been transferred. Change: it looks at its state again before it accepts.

--- a/src/net/listener/acceptor.rs
+++ b/src/net/listener/acceptor.rs
@@ -105,6 +105,7 @@
             if *self.context.replaced.borrow() {
                 succession.wait_while_succeeded().await;
                 self.queue_empty_at = Instant::now();
+                continue;
             }
             // calls the system directly, because the runtime also reports an empty queue to a task
             // that has used up its cooperative budget
