The old process logs again that another process accepts the connections

Cause: the line was logged on one of two ways out of the accept loop. Change: it is logged where the loop ends; the takeover test waits for it.

--- a/src/net/listener/acceptor.rs
+++ b/src/net/listener/acceptor.rs
@@ -121,10 +121,7 @@
             }
             let accepted = tokio::select! {
                 biased;
-                () = replacement.wait_for_replacement() => {
-                    info!("shutting down: another process accepts the connections");
-                    return None;
-                }
+                () = replacement.wait_for_replacement() => continue,
                 () = succession.wait_until_succeeded() => continue,
                 accepted = self.listener.accept() => accepted,
                 // last, so that connections that have arrived by then are accepted first
@@ -140,6 +137,9 @@
                 Err(e) => self.errors.back_off(&e).await,
             }
         }
+        if self.context.is_replaced() {
+            info!("shutting down: another process accepts the connections");
+        }
         None
     }
 
--- a/tests/upgrade/takeover.rs
+++ b/tests/upgrade/takeover.rs
@@ -33,6 +33,9 @@
         .await;
     let before = served.load(Ordering::SeqCst);
     predecessor.signal("TERM");
+    predecessor
+        .wait_for_log("shutting down: another process accepts the connections")
+        .await;
     assert_eq!(predecessor.wait_for_exit().await, Some(0));
     until("the successor serves clients", || {
         served.load(Ordering::SeqCst) > before + 50
