A connection waits for the permit of an eviction that is in progress

Cause: the bound on the wait for a permit counts the age of the accept queue, and did not ask whether an evicted connection was just closing. Change: a connection is not rejected while an eviction is in progress.

--- a/src/net/connection_limit.rs
+++ b/src/net/connection_limit.rs
@@ -95,6 +95,12 @@
         IdleConnection::register(self.evictions.clone())
     }
 
+    /// Whether a connection that was told of its eviction has not closed yet: its permit becomes
+    /// free within moments.
+    pub fn is_evicting(&self) -> bool {
+        lock(&self.evictions).has_pending()
+    }
+
     /// Waits for a permit. If none is free, requests the eviction of an idle connection. `None` if
     /// the limit is closed.
     pub async fn acquire(&self) -> Option<ConnectionPermit> {
--- a/src/net/connection_limit/eviction.rs
+++ b/src/net/connection_limit/eviction.rs
@@ -40,6 +40,11 @@
         self.evict_for_waiter();
     }
 
+    /// Whether an evicted connection has not closed yet.
+    pub(super) fn has_pending(&self) -> bool {
+        self.pending_evictions > 0
+    }
+
     /// Records that a caller no longer waits for a permit.
     pub(super) fn remove_waiter(&mut self) {
         self.waiters -= 1;
--- a/src/net/listener/acceptor.rs
+++ b/src/net/listener/acceptor.rs
@@ -9,16 +9,17 @@
 
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 use tracing::info;
 
 use super::ListenerContext;
 use super::time_limits::{
-    ACCEPT_PERIOD_AFTER_SHUTDOWN, MAX_PERMIT_WAIT, REQUEST_CUTOFF_AFTER_SHUTDOWN,
+    ACCEPT_PERIOD_AFTER_SHUTDOWN, EVICTION_CHECK_INTERVAL, MAX_PERMIT_WAIT,
+    REQUEST_CUTOFF_AFTER_SHUTDOWN,
 };
 use super::turned_away::TurnedAway;
 use crate::net::accept_errors::AcceptErrors;
-use crate::net::connection_limit::ConnectionPermit;
+use crate::net::connection_limit::{ConnectionLimit, ConnectionPermit};
 use crate::ops::metrics::ConnectionEnd;
 
 /// A listening socket.
@@ -181,10 +182,11 @@
     async fn admit(&mut self, stream: TcpStream) -> Admission {
         self.errors.reset();
         let mut shutdown = self.context.clone();
-        let wait_until = self.queue_empty_at + MAX_PERMIT_WAIT;
+        let limit = self.context.connection_limit.clone();
+        let waited_too_long = wait_without_evictions(&limit, self.queue_empty_at + MAX_PERMIT_WAIT);
         tokio::select! {
             biased;
-            permit = self.context.connection_limit.acquire() => match permit {
+            permit = limit.acquire() => match permit {
                 Some(permit) => Admission::Admitted(AcceptedConnection {
                     stream,
                     permit,
@@ -193,7 +195,15 @@
                 None => Admission::Closed,
             },
             () = shutdown.wait_after_shutdown_signal(REQUEST_CUTOFF_AFTER_SHUTDOWN) => Admission::Closed,
-            () = sleep_until(wait_until.into()) => Admission::TurnedAway(stream),
+            () = waited_too_long => Admission::TurnedAway(stream),
         }
     }
 }
+
+/// Waits until `deadline`, and then until no eviction is in progress.
+async fn wait_without_evictions(limit: &ConnectionLimit, deadline: Instant) {
+    sleep_until(deadline.into()).await;
+    while limit.is_evicting() {
+        sleep(EVICTION_CHECK_INTERVAL).await;
+    }
+}
--- a/src/net/listener/time_limits.rs
+++ b/src/net/listener/time_limits.rs
@@ -20,10 +20,14 @@
 /// A connection is dropped if its client does not accept the bytes of an answer within this time.
 pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// A connection that may have waited this long for a permit is rejected. It is a part of the shortest
+/// A connection that may have waited this long for a permit is rejected, unless an evicted
+/// connection is about to free one. It is a part of the shortest
 /// time that clients wait for an answer, so that they can ask elsewhere.
 pub(super) const MAX_PERMIT_WAIT: Duration = Duration::from_millis(250);
 
+/// How often a connection that waits for a permit checks whether another one is being evicted.
+pub(super) const EVICTION_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Connections are accepted for this long after the shutdown signal, because the platform still
 /// opens new ones for up to 0.4 s.
 pub(super) const ACCEPT_PERIOD_AFTER_SHUTDOWN: Duration = Duration::from_millis(450);
