--- a/tests/memory_limit/slow_clients.rs
+++ b/tests/memory_limit/slow_clients.rs
@@ -1,4 +1,5 @@
 //! Clients that read or write slowly, or stop half way.
+#![allow(dead_code)]
 
 use std::time::Duration;
 
