The test of hints beside a batch prints each hint that was not answered in time

The output did not say which hints were late, by how much, or with which status.

Change: each hint that is not answered in time is printed with the time it was sent, its status and its duration. The bound is as it was.

--- a/tests/batch/interactive.rs
+++ b/tests/batch/interactive.rs
@@ -27,17 +27,26 @@
     server
 }
 
-/// Sends requests of the class `hint` at their peak rate. Returns the fraction answered in time.
+/// Sends requests of the class `hint` at their peak rate. Returns the fraction answered in time,
+/// and prints the other answers.
 async fn hints_in_time(router: &Router, count: usize) -> f64 {
     let in_time = Arc::new(AtomicUsize::new(0));
     let mut requests = Vec::new();
-    for _ in 0..count {
+    let first = Instant::now();
+    for number in 0..count {
         let (address, in_time) = (router.platform.clone(), in_time.clone());
         requests.push(tokio::spawn(async move {
             let start = Instant::now();
             let got = ask(&address, "hint", 1500).await;
-            if got.head.status == 200 && got.whole && start.elapsed() < Duration::from_millis(460) {
+            let elapsed = start.elapsed();
+            if got.head.status == 200 && got.whole && elapsed < Duration::from_millis(460) {
                 in_time.fetch_add(1, Ordering::SeqCst);
+            } else {
+                let sent = start - first;
+                println!(
+                    "hint {number} sent at {sent:?}: {} after {elapsed:?}",
+                    got.head.status
+                );
             }
         }));
         sleep(Duration::from_millis(10)).await;
