The test of resubmitted lines keeps its unused address reserved

only_unsent_lines_are_resubmitted failed once in 21 runs of its test program, seven at a time: 3 lines had failed while no server was up.

Cause: the test took a free port, closed the listener and used the address as that of a server that is down. The system may give the port to the next listener, such as the test's second server, which answers 500.

Ruled out: a line that ends without an attempt that reached a server: its batch would not count it as failed before the window ends.

Change: the port stays bound, without listening, so connections are refused for as long as the test runs and nothing else gets the port. The checks are the same.

--- a/tests/batch/resubmission.rs
+++ b/tests/batch/resubmission.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::time::sleep;
 
 use crate::common::folder::Folder;
@@ -15,9 +15,10 @@
 #[tokio::test]
 async fn only_unsent_lines_are_resubmitted() {
     let folder = Folder::new();
-    let unused = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    // bound and never listening: connections are refused, and nothing else gets the port
+    let unused = TcpSocket::new_v4().unwrap();
+    unused.bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let address = unused.local_addr().unwrap().to_string();
-    drop(unused);
     let failing = peer(|_, _, _| plain("500 Oops", "")).await;
     let inventory = folder.path("hosts.csv");
     std::fs::write(&inventory, format!("name,address\ns-a,{address}\n")).unwrap();
