Requests behind the gate of the id tests outlive their tests

ids_of_the_old_process_stay_taken failed in 4 of 44 runs of its test program, four or eight at a time: a request that was to be answered 200 got 503.

Cause: in 3 of 20 runs without other load the router sends the last of the 24 requests only 4.7 s after their arrival (the test waits for that; seen by timing each step), and their deadline was 5 s, so that they were rejected as late beside any load.

Change: these requests have 20 s. The deadline is no part of what the test checks: copies of their ids are refused, and each is answered 200. A failure prints the answer.

--- a/tests/upgrade/request_ids.rs
+++ b/tests/upgrade/request_ids.rs
@@ -13,6 +13,8 @@
 /// So many ids that both processes accept some of their connections.
 const IDS: usize = 24;
 const DEADLINE_MS: u64 = 5_000;
+/// Longer than any test, so that no request expires behind the gate.
+const GATED_DEADLINE_MS: u64 = 20_000;
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A model server that answers requests of the class `batch-mark` only once the gate is open.
@@ -34,7 +36,7 @@
 
 /// A request that the server answers once the gate is open.
 fn gated_request(id: &str) -> Vec<u8> {
-    let request = String::from_utf8(request_of(id, "batch-mark", DEADLINE_MS, "")).unwrap();
+    let request = String::from_utf8(request_of(id, "batch-mark", GATED_DEADLINE_MS, "")).unwrap();
     request.replace("?a=b", "?a=gated").into_bytes()
 }
 
@@ -91,7 +93,8 @@
     assert_refused(&platform, &server, &answered).await;
     server.gate.add_permits(1);
     for client in &mut clients {
-        assert_eq!(client.answer().await.unwrap().head.status, 200);
+        let answer = client.answer().await.unwrap();
+        assert_eq!(answer.head.status, 200, "{answer:?}");
     }
     assert_eq!(old.wait_for_exit().await, Some(0));
     assert_refused(&platform, &server, &open).await;
@@ -161,7 +164,8 @@
     assert_refused(&platform, &server, &ids).await;
     server.gate.add_permits(1);
     for client in &mut clients {
-        assert_eq!(client.answer().await.unwrap().head.status, 200);
+        let answer = client.answer().await.unwrap();
+        assert_eq!(answer.head.status, 200, "{answer:?}");
     }
     for process in [first, second] {
         assert_eq!(process.wait_for_exit().await, Some(0));
