A process that lost its predecessor announces again; one successor takes over

What callers saw: after an irregular replacement two processes served beside each other and shared nothing. Ids served by one were served again by the other, commands confirmed at one were not in effect at the other, and both took all of the limits. Three ways led there: a new process that is held up while a second one takes over, two that start at once, and a process that fails while its successor starts.

Cause: the announcement of the takeover was lost with the first connection, so on the next one the process counted as not serving. A predecessor let every successor take over. A process bound the socket ahead of its takeover, away from the one that served, and that one never looked for another.

Evidence: tests/upgrade/overtaken_process.rs.

Ruled out: the sharing of ids on a connection (tests/upgrade/request_ids.rs), and different keys.

Change: readiness is a value that each exchange with a predecessor announces. A second successor is refused and connects to the one that serves. The socket is bound after the acknowledgement and ahead of serving, and recognised by its inode. Limits owned from an earlier predecessor count against those that the next transfers. The test platform writes its configuration once, because a process that started at the same time could read a half-written one.

Why it works: each process has at most one serving successor, and one that lost its predecessor connects to the owner of the socket, so the processes form one chain that shares all state.

--- a/src/net/handover/exchange.rs
+++ b/src/net/handover/exchange.rs
@@ -3,8 +3,8 @@
 
 use std::future::pending;
 
-use tokio::sync::{mpsc, oneshot};
-use tracing::{info, warn};
+use tokio::sync::{mpsc, watch};
+use tracing::warn;
 
 use super::id_exchange::{MAX_IDS_IN_MESSAGE, announcements, answer_claim};
 use super::message::PeerMessage;
@@ -13,24 +13,25 @@
 use super::resource_amounts::ResourceAmounts;
 use super::session::{Effect, Peer, Session};
 use super::subscription::Subscription;
-use super::takeover::TakeoverAnnouncement;
+use super::takeover::Takeover;
+use super::takeover_exchange::wait_until_ready;
 use super::{Handover, OUTGOING_QUEUE_LENGTH};
 use crate::lifecycle::{AdminCommand, CommandId, ForwardedCommand};
 use crate::request_ids::{IdChange, IdLink, IdRequest};
 
 impl Handover {
     /// Exchanges messages until the other process exits, and returns whether that process had taken
-    /// over from this one.
+    /// over from this one. Also ends if the other process announces its takeover after another one
+    /// has taken over.
     ///
-    /// `subscription` receives the changes that the other process has not been told of. If the
-    /// other process is the predecessor, `announcement` receives a value when this process starts
-    /// to serve clients.
+    /// `subscription` receives the changes that the other process has not been told of. `takeover`
+    /// is this process's takeover if the other process is the predecessor.
     pub(super) async fn exchange(
         &self,
         peer: Peer,
         mut connection: Connection,
         subscription: Subscription<'_>,
-        announcement: Option<oneshot::Receiver<TakeoverAnnouncement>>,
+        takeover: Option<&Takeover>,
     ) -> bool {
         let (outgoing, queue) = mpsc::channel(OUTGOING_QUEUE_LENGTH);
         // The limits bound the contents of this channel. Sending on a bounded channel could wait,
@@ -42,14 +43,17 @@
             outgoing,
             subscription,
             transfers: OutgoingTransfers::new(&self.limits, transfers),
-            announcement,
+            takeover,
+            ready: takeover.map(|takeover| takeover.ready.clone()),
+            takeover_refused: false,
+            limits_at_start: self.limits.owned(),
         };
         tokio::select! {
             () = write_queue(queue, &mut connection.writer) => {}
             () = exchange.run(&mut connection.reader) => {}
             () = self.transfer_limits(peer, &transfer_sender) => {}
         }
-        exchange.session.peer_took_over()
+        exchange.session.peer_took_over() && !exchange.takeover_refused
     }
 }
 
@@ -70,25 +74,37 @@
     LimitsReleased(ResourceAmounts),
     IdRequested(IdRequest),
     IdsChanged(Vec<IdChange>),
-    TakeoverAnnounced(TakeoverAnnouncement),
+    ReadyToServe,
 }
 
 /// One exchange with the other process.
 pub(super) struct Exchange<'a> {
-    handover: &'a Handover,
+    pub(super) handover: &'a Handover,
     pub(super) session: Session,
     outgoing: mpsc::Sender<PeerMessage>,
     /// The changes for the other process. Dropped before `transfers`, so that the peer is
     /// unregistered before its limits return to this process.
     pub(super) subscription: Subscription<'a>,
     transfers: OutgoingTransfers<'a>,
-    announcement: Option<oneshot::Receiver<TakeoverAnnouncement>>,
+    /// This process's takeover, if the other process is the predecessor.
+    takeover: Option<&'a Takeover>,
+    /// Turns true when this process can serve clients. `None` once the other process knows it, or
+    /// if it does not have to.
+    ready: Option<watch::Receiver<bool>>,
+    /// Whether the successor announced its takeover after another one had taken over.
+    pub(super) takeover_refused: bool,
+    /// The share of the limits that this process owned before the exchange and that the predecessor
+    /// has not counted yet.
+    pub(super) limits_at_start: ResourceAmounts,
 }
 
 impl Exchange<'_> {
-    /// Handles events until the other process exits or the connection fails.
+    /// Handles events until the other process exits, the connection fails, or the takeover of the
+    /// other process is refused.
     async fn run(&mut self, reader: &mut MessageReader) {
-        while let Some(event) = self.next_event(reader).await {
+        while !self.takeover_refused
+            && let Some(event) = self.next_event(reader).await
+        {
             for message in self.respond(event).await {
                 if self.outgoing.send(message).await.is_err() {
                     return;
@@ -121,7 +137,7 @@
             Ok(()) = endpoints.changed(), if to_successor => ExchangeEvent::EndpointsChanged,
             Some(amounts) = self.transfers.recv() => ExchangeEvent::LimitsReleased(amounts),
             event = next_id_event(ids, to_successor) => event,
-            announcement = next_announcement(&mut self.announcement) => ExchangeEvent::TakeoverAnnounced(announcement),
+            () = wait_until_ready(&mut self.ready) => ExchangeEvent::ReadyToServe,
         };
         Some(event)
     }
@@ -146,9 +162,7 @@
             }
             ExchangeEvent::IdRequested(request) => vec![self.id_request(request)],
             ExchangeEvent::IdsChanged(changes) => announcements(changes),
-            ExchangeEvent::TakeoverAnnounced(TakeoverAnnouncement { acknowledged }) => {
-                vec![self.session.announce_takeover(acknowledged)]
-            }
+            ExchangeEvent::ReadyToServe => self.announce_takeover(),
         }
     }
 
@@ -170,8 +184,13 @@
                 answer_claim(ids, number, id, self.outgoing.clone());
             }
             Effect::UpdateEndpoints(list) => self.handover.adopt_endpoints(list).await,
-            Effect::AddLimits(amounts) => self.handover.limits.add(amounts),
+            Effect::AddLimits(amounts) => self.add_limits(amounts),
             Effect::YieldToSuccessor => return self.yield_to_successor(),
+            Effect::CompleteTakeover => {
+                if let Some(takeover) = self.takeover {
+                    takeover.acknowledged.send_replace(true);
+                }
+            }
         }
         Vec::new()
     }
@@ -184,26 +203,6 @@
             .execute_for_peer(command, key, from)
             .await
     }
-
-    /// Lets the successor serve clients. It begins when it has the acknowledgement, so the changes
-    /// that it has not been told of go ahead of that.
-    fn yield_to_successor(&mut self) -> Vec<PeerMessage> {
-        info!("the successor process has taken over");
-        self.handover.successor_serving.send_replace(true);
-        self.handover.lifecycle.set_succeeded(true);
-        let commands = self.subscription.commands.start_serving();
-        let mut messages: Vec<_> = commands
-            .into_iter()
-            .map(|command| self.session.forward_command(command))
-            .collect();
-        if self.subscription.endpoints.has_changed().unwrap_or(false) {
-            let list = self.subscription.endpoints.borrow_and_update().clone();
-            messages.extend(list.map(PeerMessage::EndpointsUpdated));
-        }
-        messages.extend(self.yield_ids());
-        messages.push(PeerMessage::TakeoverAcknowledged);
-        messages
-    }
 }
 
 /// Waits for a request to the owner of the ids, or for changes to announce. Cancel safe.
@@ -216,17 +215,3 @@
     }
     ExchangeEvent::IdsChanged(ids.next_changes(MAX_IDS_IN_MESSAGE).await)
 }
-
-/// Waits for the takeover announcement. Never returns if none is expected. Cancel safe.
-async fn next_announcement(
-    pending_announcement: &mut Option<oneshot::Receiver<TakeoverAnnouncement>>,
-) -> TakeoverAnnouncement {
-    if let Some(receiver) = pending_announcement {
-        let announcement = receiver.await;
-        *pending_announcement = None;
-        if let Ok(announcement) = announcement {
-            return announcement;
-        }
-    }
-    pending().await
-}
--- a/src/net/handover/mod.rs
+++ b/src/net/handover/mod.rs
@@ -7,7 +7,7 @@
 //! - `rendezvous`: the router's folder with its socket and files;
 //! - `predecessor_link`, `hello_reply`: the connection from a starting process to its predecessor;
 //! - `takeover`: the successor's side; `successors`: the predecessor's side;
-//! - `exchange`, `id_exchange`, `session`, `message`, `message_stream`: the messages between the two
+//! - `exchange`, `id_exchange`, `takeover_exchange`, `session`, `message`, `message_stream`: the messages between the two
 //!   processes;
 //! - `subscription`, `peer_registration`: the state and the changes that the other process is told;
 //! - `adoption`: state of a predecessor that reaches this process later than its start;
@@ -35,9 +35,9 @@
 mod subscription;
 mod successors;
 mod takeover;
+mod takeover_exchange;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::sync::{Notify, mpsc, watch};
@@ -83,9 +83,6 @@
     pub successor_serving: watch::Sender<bool>,
     /// Notified when the rendezvous socket must be bound again.
     pub rebind: Notify,
-    /// Set when this process starts to accept successors on the rendezvous socket. While no
-    /// successor has bound it again, connecting to the socket would reach this process itself.
-    pub owns_socket: AtomicBool,
 }
 
 impl Handover {
@@ -95,17 +92,14 @@
     /// endpoint list and a share of the limits, and the predecessor has acknowledged the takeover,
     /// or once the predecessor has exited.
     pub async fn start(self: Arc<Self>, predecessor: Option<PredecessorLink>) {
-        let announcement_sender = match predecessor {
-            Some(link) => Some(self.prepare_takeover(link).await),
-            None => None,
-        };
-        self.owns_socket.store(true, Ordering::Relaxed);
-        tokio::spawn(self.clone().accept_successors());
-        if let Some(announcement_sender) = announcement_sender
-            && !Handover::announce_takeover(announcement_sender).await
+        if let Some(link) = predecessor
+            && !self.take_over_from(link).await
         {
             self.adopt_stored_state().await;
         }
+        // bound ahead of serving, so that a process that starts from now on finds this one
+        let listener = self.rendezvous.try_bind().ok();
+        tokio::spawn(self.clone().accept_successors(listener));
         self.lifecycle.set_serving().await;
     }
 }
--- a/src/net/handover/predecessor_link.rs
+++ b/src/net/handover/predecessor_link.rs
@@ -21,6 +21,10 @@
 /// Maximum delay between attempts to connect. Short compared with the time limit for all attempts.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How long a process that has lost its predecessor looks for another one. A process that serves
+/// again after its successor has exited binds the socket in this time.
+const REBIND_TIME: Duration = Duration::from_millis(50);
+
 /// A connection to the predecessor, with the data of its reply to the hello.
 pub struct PredecessorLink {
     pub(super) connection: Connection,
@@ -32,7 +36,7 @@
 /// Why one attempt to connect to a predecessor failed.
 #[derive(Debug, thiserror::Error)]
 enum ConnectError {
-    /// No process listens on the rendezvous socket.
+    /// No other process listens on the rendezvous socket.
     #[error("there is no predecessor process")]
     NoPredecessor,
     /// The attempt failed in a way that doesn't show whether there is a predecessor.
@@ -76,6 +80,23 @@
         self.connect_within(PEER_TIMEOUT).await
     }
 
+    /// Connects to another predecessor after the connection to one has ended. `None` if there is
+    /// none, or if this process is the one that listens on the rendezvous socket.
+    pub(super) async fn connect_to_another(&self) -> Option<PredecessorLink> {
+        let deadline = Instant::now() + REBIND_TIME;
+        let mut backoff = Backoff::new(FIRST_RETRY_DELAY, MAX_RETRY_DELAY);
+        while !self.owns_socket() {
+            if let Some(link) = self.connect_to_predecessor().await {
+                return Some(link);
+            }
+            if Instant::now() >= deadline {
+                break;
+            }
+            sleep(backoff.next_delay()).await;
+        }
+        None
+    }
+
     async fn connect_within(&self, limit: Duration) -> Option<PredecessorLink> {
         let deadline = Instant::now() + limit;
         let mut backoff = Backoff::new(FIRST_RETRY_DELAY, MAX_RETRY_DELAY);
@@ -104,6 +125,9 @@
     }
 
     async fn connect_once(&self, deadline: Instant) -> Result<PredecessorLink, ConnectError> {
+        if self.owns_socket() {
+            return Err(ConnectError::NoPredecessor);
+        }
         let stream = timeout_at(deadline, UnixStream::connect(self.socket_path()))
             .await
             .unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
--- a/src/net/handover/rendezvous.rs
+++ b/src/net/handover/rendezvous.rs
@@ -3,8 +3,10 @@
 
 use std::fs::File;
 use std::os::fd::AsRawFd;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use tokio::net::UnixListener;
@@ -24,10 +26,14 @@
 /// Maximum length in bytes of a folder path that is used directly. The socket's path, with a file
 /// name of up to 40 bytes, then stays within the 108 bytes that Linux allows.
 const MAX_FOLDER_PATH_BYTES: usize = 64;
+/// No file has this inode number.
+const NO_INODE: u64 = 0;
 
 /// The router's folder, through which its processes connect to each other.
 pub struct Rendezvous {
     folder: PathBuf,
+    /// The inode number of the socket that this process has bound last, or `NO_INODE`.
+    bound_inode: AtomicU64,
     /// Keeps the folder open if `folder` is a path through its descriptor.
     _descriptor: Option<File>,
 }
@@ -39,12 +45,14 @@
         if folder.as_os_str().len() <= MAX_FOLDER_PATH_BYTES {
             return Ok(Rendezvous {
                 folder: folder.to_path_buf(),
+                bound_inode: AtomicU64::new(NO_INODE),
                 _descriptor: None,
             });
         }
         let descriptor = File::open(folder)?;
         Ok(Rendezvous {
             folder: format!("/proc/self/fd/{}", descriptor.as_raw_fd()).into(),
+            bound_inode: AtomicU64::new(NO_INODE),
             _descriptor: Some(descriptor),
         })
     }
@@ -59,6 +67,14 @@
         self.folder.join("stilespan.sock")
     }
 
+    /// Whether the socket is the one that this process has bound: connecting to it would reach this
+    /// process itself.
+    pub(super) fn owns_socket(&self) -> bool {
+        let inode = self.bound_inode.load(Ordering::Relaxed);
+        let metadata = std::fs::metadata(self.socket_path());
+        inode != NO_INODE && metadata.is_ok_and(|metadata| metadata.ino() == inode)
+    }
+
     /// Loads the maintenance state from its file. Returns the default state if there is no file, or
     /// if neither the file nor its copy can be used.
     pub async fn load_maintenance(&self) -> MaintenanceState {
@@ -98,12 +114,14 @@
 
     /// Binds a socket at a path unique to this process and renames it, which atomically replaces a
     /// predecessor's socket.
-    fn try_bind(&self) -> std::io::Result<UnixListener> {
+    pub(super) fn try_bind(&self) -> std::io::Result<UnixListener> {
         let unique_path = self
             .folder
             .join(format!("stilespan.{}.sock", std::process::id()));
         let _ = std::fs::remove_file(&unique_path);
         let listener = UnixListener::bind(&unique_path)?;
+        let inode = std::fs::metadata(&unique_path)?.ino();
+        self.bound_inode.store(inode, Ordering::Relaxed);
         std::fs::rename(&unique_path, self.socket_path())?;
         Ok(listener)
     }
--- a/src/net/handover/session.rs
+++ b/src/net/handover/session.rs
@@ -46,6 +46,8 @@
     ClaimId { number: u64, id: IdHash },
     /// Let the successor serve clients from now on, and acknowledge the takeover.
     YieldToSuccessor,
+    /// Serve clients: the predecessor has acknowledged the takeover.
+    CompleteTakeover,
 }
 
 /// The state of one exchange.
@@ -57,8 +59,8 @@
     last_claim: u64,
     /// Questions for request ids that the peer hasn't answered yet.
     pending_claims: HashMap<u64, oneshot::Sender<bool>>,
-    /// Notified once the predecessor acknowledges the takeover.
-    takeover_acknowledged: Option<oneshot::Sender<()>>,
+    /// Whether this process has announced its takeover and the predecessor hasn't acknowledged it.
+    takeover_announced: bool,
     peer_took_over: bool,
 }
 
@@ -70,7 +72,7 @@
             pending_commands: HashMap::new(),
             last_claim: 0,
             pending_claims: HashMap::new(),
-            takeover_acknowledged: None,
+            takeover_announced: false,
             peer_took_over: false,
         }
     }
@@ -120,11 +122,9 @@
                 }
                 Effect::Nothing
             }
-            (_, PeerMessage::TakeoverAcknowledged) => {
-                if let Some(acknowledged) = self.takeover_acknowledged.take() {
-                    let _ = acknowledged.send(());
-                }
-                Effect::Nothing
+            (Peer::Predecessor, PeerMessage::TakeoverAcknowledged) if self.takeover_announced => {
+                self.takeover_announced = false;
+                Effect::CompleteTakeover
             }
             (Peer::Predecessor, PeerMessage::EndpointsUpdated(list)) => {
                 Effect::UpdateEndpoints(list)
@@ -132,7 +132,7 @@
             (Peer::Predecessor, PeerMessage::LimitsTransferred(limits)) => {
                 Effect::AddLimits(limits)
             }
-            (Peer::Successor, PeerMessage::SuccessorServing) => {
+            (Peer::Successor, PeerMessage::SuccessorServing) if !self.peer_took_over => {
                 self.peer_took_over = true;
                 Effect::YieldToSuccessor
             }
@@ -168,8 +168,8 @@
     }
 
     /// Creates the message that tells the predecessor that this process serves clients.
-    pub(super) fn announce_takeover(&mut self, acknowledged: oneshot::Sender<()>) -> PeerMessage {
-        self.takeover_acknowledged = Some(acknowledged);
+    pub(super) fn announce_takeover(&mut self) -> PeerMessage {
+        self.takeover_announced = true;
         PeerMessage::SuccessorServing
     }
 }
--- a/src/net/handover/session/tests.rs
+++ b/src/net/handover/session/tests.rs
@@ -95,9 +95,10 @@
 #[test]
 fn acknowledgement_reaches_the_takeover() {
     let mut session = Session::new(Peer::Predecessor);
-    let (acknowledged, mut acknowledgement) = oneshot::channel();
-    let message = session.announce_takeover(acknowledged);
+    let early = session.receive(PeerMessage::TakeoverAcknowledged);
+    assert!(matches!(early, Effect::Nothing));
+    let message = session.announce_takeover();
     assert!(matches!(message, PeerMessage::SuccessorServing));
-    session.receive(PeerMessage::TakeoverAcknowledged);
-    assert_eq!(acknowledgement.try_recv(), Ok(()));
+    let effect = session.receive(PeerMessage::TakeoverAcknowledged);
+    assert!(matches!(effect, Effect::CompleteTakeover));
 }
--- a/src/net/handover/session/tests/orders.rs
+++ b/src/net/handover/session/tests/orders.rs
@@ -30,7 +30,7 @@
     to_old: VecDeque<PeerMessage>,
     to_new: VecDeque<PeerMessage>,
     has_connected: bool,
-    announced: Option<oneshot::Receiver<()>>,
+    announced: bool,
     command_count: usize,
     /// The servers whose exclusion was confirmed.
     confirmed: Arc<Mutex<Vec<String>>>,
@@ -44,7 +44,7 @@
             to_old: VecDeque::new(),
             to_new: VecDeque::new(),
             has_connected: false,
-            announced: None,
+            announced: false,
             command_count: 0,
             confirmed: Arc::default(),
         }
@@ -103,14 +103,16 @@
             return;
         }
         let Some(new) = &mut self.new else { return };
-        if let Effect::ExecuteCommand { id, command, key } = new.session.receive(message) {
-            self.to_old
-                .push_back(new.execute(id, command, key.unwrap()).await);
-        }
-        let acknowledged = self.announced.as_mut();
-        if acknowledged.is_some_and(|acknowledged| acknowledged.try_recv().is_ok()) {
-            new.start_serving().await;
-            self.check().await;
+        match new.session.receive(message) {
+            Effect::ExecuteCommand { id, command, key } => {
+                self.to_old
+                    .push_back(new.execute(id, command, key.unwrap()).await);
+            }
+            Effect::CompleteTakeover => {
+                new.start_serving().await;
+                self.check().await;
+            }
+            _ => {}
         }
     }
 
@@ -135,13 +137,11 @@
     }
 
     fn announce(&mut self) {
-        let Some(new) = self.new.as_mut().filter(|_| self.announced.is_none()) else {
+        let Some(new) = self.new.as_mut().filter(|_| !self.announced) else {
             return;
         };
-        let (acknowledged, announced) = oneshot::channel();
-        let message = new.session.announce_takeover(acknowledged);
-        self.to_old.push_back(message);
-        self.announced = Some(announced);
+        self.to_old.push_back(new.session.announce_takeover());
+        self.announced = true;
     }
 
     /// The old process dies. What it has written to the link still arrives, and its file has all
@@ -172,7 +172,7 @@
         }
         self.to_new.clear();
         self.to_old.clear();
-        self.announced = None;
+        self.announced = false;
         self.has_connected = false;
         self.old.as_mut().unwrap().peer_exited();
     }
--- a/src/net/handover/successors.rs
+++ b/src/net/handover/successors.rs
@@ -15,13 +15,16 @@
 use crate::net::accept_errors::AcceptErrors;
 
 impl Handover {
-    /// Accepts successors. Never returns.
-    pub(super) async fn accept_successors(self: Arc<Self>) {
+    /// Accepts successors on `bound`, or on a socket that it binds. Never returns.
+    pub(super) async fn accept_successors(self: Arc<Self>, mut bound: Option<UnixListener>) {
         let mut successors = JoinSet::new();
         let socket = self.rendezvous.socket_path();
         let mut errors = AcceptErrors::new(socket.display().to_string());
         loop {
-            let listener = self.rendezvous.bind_socket().await;
+            let listener = match bound.take() {
+                Some(listener) => listener,
+                None => self.rendezvous.bind_socket().await,
+            };
             while let Some(stream) = self.next_successor(&listener, &mut errors).await {
                 while successors.try_join_next().is_some() {}
                 if successors.len() < MAX_SUCCESSORS {
--- a/src/net/handover/takeover.rs
+++ b/src/net/handover/takeover.rs
@@ -2,36 +2,47 @@
 //! takeover to the predecessor, and stays connected to the predecessor until it exits.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{info, warn};
 
 use super::predecessor_link::PredecessorLink;
 use super::session::Peer;
 use super::{Handover, PEER_TIMEOUT, READINESS_POLL_INTERVAL};
+use crate::backoff::Backoff;
 
-/// A request to announce to the predecessor that this process serves clients.
-pub(super) struct TakeoverAnnouncement {
-    /// Notified once the predecessor has acknowledged the takeover.
-    pub(super) acknowledged: oneshot::Sender<()>,
+/// Initial delay before the announcement to another predecessor.
+const FIRST_LINK_DELAY: Duration = Duration::from_millis(2);
+/// Maximum delay before the announcement to another predecessor.
+const MAX_LINK_DELAY: Duration = Duration::from_millis(500);
+
+/// The takeover of this process, whichever process the predecessor is.
+pub(super) struct Takeover {
+    /// Turns true when this process can serve clients. It is announced to each predecessor.
+    pub(super) ready: watch::Receiver<bool>,
+    /// Turns true when a predecessor has acknowledged the takeover.
+    pub(super) acknowledged: watch::Sender<bool>,
 }
 
 impl Handover {
-    /// Starts the exchange with the predecessor and waits until this process can serve clients.
+    /// Takes over from the predecessor: waits until this process can serve clients, announces that,
+    /// and waits for the acknowledgement. Returns whether it has arrived: then this process has
+    /// every change that the predecessor has confirmed.
     ///
     /// This process can serve clients once it has an endpoint list and a share of the limits, or
-    /// once the predecessor has exited. The returned sender triggers the announcement of the
-    /// takeover.
-    pub(super) async fn prepare_takeover(
-        self: &Arc<Self>,
-        link: PredecessorLink,
-    ) -> oneshot::Sender<TakeoverAnnouncement> {
-        let (announcement_sender, announcement) = oneshot::channel();
+    /// once there is no predecessor any more.
+    pub(super) async fn take_over_from(self: &Arc<Self>, link: PredecessorLink) -> bool {
+        let (ready_sender, ready) = watch::channel(false);
+        let (acknowledged, mut acknowledgement) = watch::channel(false);
+        let takeover = Takeover {
+            ready,
+            acknowledged,
+        };
         let handover = self.clone();
         let exchange_task =
-            tokio::spawn(async move { handover.follow_predecessor(link, announcement).await });
+            tokio::spawn(async move { handover.follow_predecessors(link, takeover).await });
         let started = Instant::now();
         while !exchange_task.is_finished() {
             if !self.limits.admits_clients() && started.elapsed() > PEER_TIMEOUT {
@@ -43,48 +54,28 @@
             }
             sleep(READINESS_POLL_INTERVAL).await;
         }
-        announcement_sender
-    }
-
-    /// Announces to the predecessor that this process is about to serve clients, and waits for its
-    /// acknowledgement. Returns whether it has arrived: then this process has every change that the
-    /// predecessor has confirmed.
-    pub(super) async fn announce_takeover(
-        announcement_sender: oneshot::Sender<TakeoverAnnouncement>,
-    ) -> bool {
-        let (acknowledged, acknowledgement) = oneshot::channel();
-        let announcement = TakeoverAnnouncement { acknowledged };
-        announcement_sender.send(announcement).is_ok()
-            && matches!(timeout(PEER_TIMEOUT, acknowledgement).await, Ok(Ok(())))
+        ready_sender.send_replace(true);
+        let acknowledged = acknowledgement.wait_for(|acknowledged| *acknowledged);
+        matches!(timeout(PEER_TIMEOUT, acknowledged).await, Ok(Ok(_)))
     }
 
-    /// Stays connected to the predecessor until it exits, and then connects to a process that may
-    /// have replaced it in the meantime. After the last predecessor has exited, this process takes
-    /// all of the limits.
-    async fn follow_predecessor(
-        &self,
-        link: PredecessorLink,
-        announcement: oneshot::Receiver<TakeoverAnnouncement>,
-    ) {
-        let mut announcement = Some(announcement);
+    /// Stays connected to the predecessor until it exits or refuses the takeover, and then connects
+    /// to a process that may have taken over from it in the meantime. After the last predecessor has
+    /// exited, this process takes all of the limits.
+    async fn follow_predecessors(&self, link: PredecessorLink, takeover: Takeover) {
+        let mut backoff = Backoff::new(FIRST_LINK_DELAY, MAX_LINK_DELAY);
         let mut next_link = Some(link);
         while let Some(link) = next_link.take() {
             let PredecessorLink { connection, reply } = link;
             let (mut subscription, _) = self.subscribe(Peer::Predecessor).await;
             self.adopt(reply, &mut subscription).await;
-            self.exchange(
-                Peer::Predecessor,
-                connection,
-                subscription,
-                announcement.take(),
-            )
-            .await;
-            info!("the predecessor process has exited");
-            let owns_socket = self.owns_socket.load(Ordering::Relaxed);
-            if !owns_socket || *self.successor_serving.borrow() {
-                next_link = self.rendezvous.connect_to_predecessor().await;
-            }
+            self.exchange(Peer::Predecessor, connection, subscription, Some(&takeover))
+                .await;
+            info!("the connection to the predecessor process has ended");
+            sleep(backoff.next_delay()).await;
+            next_link = self.rendezvous.connect_to_another().await;
         }
+        info!("there is no predecessor process any more");
         self.limits.raise_to_all();
     }
 }
--- a/src/router/open/handover.rs
+++ b/src/router/open/handover.rs
@@ -31,7 +31,6 @@
         shutdown,
         successor_serving,
         rebind: Notify::new(),
-        owns_socket: false.into(),
     };
     Some(HandoverStart {
         handover: Arc::new(handover),
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -9,6 +9,7 @@
 mod least_limits;
 mod list_handover;
 mod maintenance_state;
+mod overtaken_process;
 mod processes;
 mod request_ids;
 mod scripted_process;
--- a/tests/upgrade/processes.rs
+++ b/tests/upgrade/processes.rs
@@ -14,12 +14,13 @@
 use crate::common::peers::*;
 use crate::common::process::{Running, signal};
 
+const CONFIG_FILE: &str = "config.json";
+
 /// What the platform provides to each process: the clients' listening socket and the router's
 /// folder.
 pub struct Platform {
     listener: std::net::TcpListener,
     pub folder: Folder,
-    config: String,
 }
 
 /// A running process. It is killed if the test fails.
@@ -33,11 +34,9 @@
 impl Platform {
     pub fn new(config: String) -> Platform {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        Platform {
-            listener,
-            folder: Folder::new(),
-            config,
-        }
+        let folder = Folder::new();
+        fs::write(folder.path(CONFIG_FILE), config).unwrap();
+        Platform { listener, folder }
     }
 
     /// The address at which clients connect to the router.
@@ -48,8 +47,6 @@
     /// The command that runs the program through a shell, with `socket` as descriptor 7 and
     /// `/dev/null` as descriptor 8. `fd` is the descriptor number passed to the program.
     pub fn command(&self, socket: OwnedFd, fd: &str) -> Command {
-        let file = self.folder.path("config.json");
-        fs::write(&file, &self.config).unwrap();
         let mut command = Command::new("sh");
         command.args([
             "-c",
@@ -59,7 +56,7 @@
         ]);
         command
             .args(["serve", "--config"])
-            .arg(file)
+            .arg(self.folder.path(CONFIG_FILE))
             .stdin(Stdio::from(socket))
             .stderr(Stdio::piped());
         command
--- a/tests/upgrade/request_ids.rs
+++ b/tests/upgrade/request_ids.rs
@@ -41,7 +41,7 @@
 }
 
 /// Sends requests with fresh ids on new connections, and returns the ids.
-async fn serve_ids(platform: &Platform) -> Vec<String> {
+pub async fn serve_ids(platform: &Platform) -> Vec<String> {
     let mut ids = Vec::new();
     for _ in 0..IDS {
         let id = fresh_id();
@@ -52,12 +52,13 @@
     ids
 }
 
-/// Asserts that copies of these ids are refused, and that the server has seen each once.
-async fn assert_refused(platform: &Platform, server: &Peer, ids: &[String]) {
+/// Asserts that copies of these ids are refused, and that the servers have seen each once.
+pub async fn assert_refused(platform: &Platform, servers: &[&Peer], ids: &[String]) {
     for id in ids {
         let answer = call_once(&platform.clients_address(), &request_with(id)).await;
         assert_eq!(answer.head.status, 409, "{id} is served again");
-        assert_eq!(server.requests_under(id), 1);
+        let requests = servers.iter().map(|server| server.requests_under(id));
+        assert_eq!(requests.sum::<usize>(), 1);
     }
 }
 
@@ -87,17 +88,17 @@
     let (mut clients, open) = open_requests(&platform, &server).await;
     let new = platform.start().await;
     new.wait_until_ready().await;
-    assert_refused(&platform, &server, &open).await;
+    assert_refused(&platform, &[&server], &open).await;
     old.signal("TERM");
-    assert_refused(&platform, &server, &open).await;
-    assert_refused(&platform, &server, &answered).await;
+    assert_refused(&platform, &[&server], &open).await;
+    assert_refused(&platform, &[&server], &answered).await;
     server.gate.add_permits(1);
     for client in &mut clients {
         let answer = client.answer().await.unwrap();
         assert_eq!(answer.head.status, 200, "{answer:?}");
     }
     assert_eq!(old.wait_for_exit().await, Some(0));
-    assert_refused(&platform, &server, &open).await;
+    assert_refused(&platform, &[&server], &open).await;
 }
 
 /// The other direction: a client on a connection of the old process sends ids that the new process
@@ -116,7 +117,7 @@
     // an id that nobody has sent is served on the old connection, and then taken at both processes
     let fresh = fresh_id();
     assert_eq!(kept.call(&request_with(&fresh)).await.head.status, 200);
-    assert_refused(&platform, &server, &[fresh]).await;
+    assert_refused(&platform, &[&server], &[fresh]).await;
     assert_eq!(kept.call(&request_with(&ids[0])).await.head.status, 409);
     for id in &ids[1..] {
         // the router closes the connection after a 409; the platform's front opens another one
@@ -142,7 +143,7 @@
     new.wait_for_exit().await;
     old.wait_for_log("has exited; this process goes on serving")
         .await;
-    assert_refused(&platform, &server, &ids).await;
+    assert_refused(&platform, &[&server], &ids).await;
     serve_ids(&platform).await;
 }
 
@@ -161,7 +162,7 @@
     let third = platform.start().await;
     third.wait_until_ready().await;
     second.signal("TERM");
-    assert_refused(&platform, &server, &ids).await;
+    assert_refused(&platform, &[&server], &ids).await;
     server.gate.add_permits(1);
     for client in &mut clients {
         let answer = client.answer().await.unwrap();
@@ -170,7 +171,7 @@
     for process in [first, second] {
         assert_eq!(process.wait_for_exit().await, Some(0));
     }
-    assert_refused(&platform, &server, &ids).await;
+    assert_refused(&platform, &[&server], &ids).await;
 }
 
 /// An id that no model server has seen is free again, at each process.
