A process that shuts down can be found again when its successor fails

What callers saw: a new process takes over, the old one gets SIGTERM and still answers its last requests, the new one is killed. The process that starts next served ids once more that were open at the old one, and neither had the other's commands.

Cause: when a successor ended, a process that had got SIGTERM did nothing. The socket stayed with the dead process, and a later successor would have counted as the second one.

Ruled out: the ids of the dead process, which the old one had been told.

Change: the process binds the socket again and counts no successor as serving, also while it shuts down. It still accepts no clients: its acceptor has ended.

Why it works: the next process connects to it as to any predecessor, and gets list, commands, ids and limits.

--- a/src/net/handover/successors.rs
+++ b/src/net/handover/successors.rs
@@ -85,12 +85,18 @@
     }
 
     /// Serves clients again after a successor has exited, unless another successor has taken over.
+    /// While this process shuts down it accepts no clients, but processes that start still connect to
+    /// it: its last requests concern them.
     fn resume_after_successor_exit(&self, took_over: bool) {
         let another_serves = !took_over && *self.successor_serving.borrow();
-        if *self.shutdown.borrow() || another_serves {
+        if another_serves {
             return;
         }
-        warn!("the successor process has exited; this process goes on serving");
+        if *self.shutdown.borrow() {
+            warn!("the successor process has exited; this process shuts down");
+        } else {
+            warn!("the successor process has exited; this process goes on serving");
+        }
         self.successor_serving.send_replace(false);
         self.lifecycle.set_succeeded(false);
         self.rebind.notify_one();
--- a/tests/upgrade/overtaken_process.rs
+++ b/tests/upgrade/overtaken_process.rs
@@ -8,7 +8,7 @@
 
 use crate::common::peers::*;
 use crate::processes::*;
-use crate::request_ids::{assert_refused, serve_ids};
+use crate::request_ids::{assert_refused, open_requests, serve_ids, start_gated_server};
 
 const REQUESTS: usize = 10;
 /// Longer than a connected process needs to write its hello.
@@ -146,3 +146,29 @@
     last.wait_until_ready().await;
     assert_one_router(&platform, [&a, &b], ids, &first, last).await;
 }
+
+/// Guards against a process that starts after a failed one and knows nothing of the process before
+/// that, which still answers its last requests.
+#[tokio::test]
+async fn process_after_a_failed_one_joins_the_first() {
+    let (server, config) = start_gated_server().await;
+    let platform = Platform::new(config);
+    let first = platform.start().await;
+    first.wait_until_ready().await;
+    let (mut clients, mut ids) = open_requests(&platform, &server).await;
+    let failing = platform.start().await;
+    failing.wait_until_ready().await;
+    first.signal("TERM");
+    ids.extend(serve_ids(&platform).await);
+    failing.signal("KILL");
+    first.wait_for_log("the successor process has exited").await;
+    let last = platform.start().await;
+    last.wait_until_ready().await;
+    assert_refused(&platform, &[&server], &ids).await;
+    server.gate.add_permits(1);
+    for client in &mut clients {
+        assert_eq!(client.answer().await.unwrap().head.status, 200);
+    }
+    assert_eq!(first.wait_for_exit().await, Some(0));
+    assert_refused(&platform, &[&server], &ids).await;
+}
--- a/tests/upgrade/request_ids.rs
+++ b/tests/upgrade/request_ids.rs
@@ -18,7 +18,7 @@
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A model server that answers requests of the class `batch-mark` only once the gate is open.
-async fn start_gated_server() -> (Peer, String) {
+pub async fn start_gated_server() -> (Peer, String) {
     let server = peer(|_, head, _| {
         let is_gated = head.target.contains("gated");
         let gate = [Step::Gate, Step::Release];
@@ -63,7 +63,7 @@
 }
 
 /// Opens requests that stay unanswered until the gate is open.
-async fn open_requests(platform: &Platform, server: &Peer) -> (Vec<Client>, Vec<String>) {
+pub async fn open_requests(platform: &Platform, server: &Peer) -> (Vec<Client>, Vec<String>) {
     let (mut clients, mut ids) = (Vec::new(), Vec::new());
     for _ in 0..IDS {
         let id = fresh_id();
