Names of the handover tests: exclusions, commands and clients in the field's words

Only names and texts in tests/upgrade/confirmed_commands.rs and request_ids.rs change: a ban is an exclusion, its request disables a server, and times and clients have the usual names. No check, bound or message changes.

--- a/tests/upgrade/confirmed_commands.rs
+++ b/tests/upgrade/confirmed_commands.rs
@@ -14,7 +14,7 @@
 /// Longer than a process waits for the reply of its predecessor.
 const LATE_REPLY: Duration = Duration::from_millis(800);
 /// How long a command that must not wait for a silent process may take.
-const OPERATORS_PATIENCE: Duration = Duration::from_secs(1);
+const MAX_COMMAND_TIME: Duration = Duration::from_secs(1);
 
 /// A configuration whose list names `size` servers: `s-a`, `s-b`, and others that drain.
 fn config_of_fleet(a: &Peer, b: &Peer, size: usize) -> String {
@@ -39,7 +39,7 @@
     (platform, process)
 }
 
-/// Guards against a ban that is confirmed between the successor's copy of the state and its
+/// Guards against an exclusion that is confirmed between the successor's copy of the state and its
 /// registration: a large reply waits for a slow successor.
 #[rstest]
 #[case::smallest_fleet(5)]
@@ -70,7 +70,7 @@
     };
     let (status, received) = tokio::join!(answer, received);
     assert_eq!(status, 200);
-    assert!(received, "the successor never learns of the ban");
+    assert!(received, "the successor never learns of the exclusion");
 }
 
 /// A successor that stays silent delays no command, and has it before it may serve. Once it serves,
@@ -85,18 +85,21 @@
     assert_eq!(process.post("/model-servers/disable?name=s-a").await, 200);
     assert_eq!(process.post("/model-servers/disable?name=s-b").await, 200);
     successor.send(&"ready".into()).await;
-    let mut banned = successor.receive("met").await["orders"]["bans"].to_string();
+    let mut excluded = successor.receive("met").await["orders"]["bans"].to_string();
     loop {
         let message = successor.next_message().await;
         if message == "taken" {
             break;
         }
-        banned.push_str(&message["call"]["call"].to_string());
+        excluded.push_str(&message["call"]["call"].to_string());
     }
-    assert!(banned.contains("s-a") && banned.contains("s-b"), "{banned}");
-    let asked = tokio::time::Instant::now();
+    assert!(
+        excluded.contains("s-a") && excluded.contains("s-b"),
+        "{excluded}"
+    );
+    let sent_at = tokio::time::Instant::now();
     assert_eq!(process.post("/drain").await, 503);
-    assert!(asked.elapsed() < OPERATORS_PATIENCE);
+    assert!(sent_at.elapsed() < MAX_COMMAND_TIME);
     assert_eq!(successor.receive("call").await["call"], "drain");
 }
 
@@ -114,15 +117,15 @@
             .wait_for_log("a successor process has connected")
             .await;
         successor.signal("STOP");
-        let ban = format!("/model-servers/disable?name={name}");
-        let confirmed = predecessor.post(&ban).await;
+        let disable = format!("/model-servers/disable?name={name}");
+        let status = predecessor.post(&disable).await;
         if name == "s-a" {
             // this successor fails, and the predecessor goes on
             successor.signal("KILL");
-            assert_eq!(confirmed, 200);
+            assert_eq!(status, 200);
             continue;
         }
-        assert_eq!(confirmed, 200);
+        assert_eq!(status, 200);
         predecessor.signal("KILL");
         successor.signal("CONT");
         let successor = successor.wait_until_listening().await;
@@ -207,7 +210,7 @@
 #[case::at_the_middle(1)]
 #[case::at_the_newest(2)]
 #[tokio::test]
-async fn command_reaches_all_of_three_processes(#[case] asked: usize) {
+async fn command_reaches_all_of_three_processes(#[case] commanded: usize) {
     let (a, _, config) = start_two_servers().await;
     let platform = Platform::new(config);
     let mut processes = Vec::new();
@@ -216,8 +219,8 @@
         process.wait_until_ready().await;
         processes.push(process);
     }
-    let ban = "/model-servers/disable?name=s-a";
-    assert_eq!(processes[asked].post(ban).await, 200);
+    let disable = "/model-servers/disable?name=s-a";
+    assert_eq!(processes[commanded].post(disable).await, 200);
     for _ in 0..2 {
         for _ in 0..10 {
             assert!(ask(&platform.clients_address(), "hint", 1000).await.whole);
--- a/tests/upgrade/request_ids.rs
+++ b/tests/upgrade/request_ids.rs
@@ -109,16 +109,19 @@
     let platform = Platform::new(config);
     let old = platform.start().await;
     old.wait_until_ready().await;
-    let mut kept = Client::new(&platform.clients_address()).await;
-    assert_eq!(kept.call(&request_with(&fresh_id())).await.head.status, 200);
+    let mut client = Client::new(&platform.clients_address()).await;
+    assert_eq!(
+        client.call(&request_with(&fresh_id())).await.head.status,
+        200
+    );
     let new = platform.start().await;
     new.wait_until_ready().await;
     let ids = serve_ids(&platform).await;
     // an id that nobody has sent is served on the old connection, and then taken at both processes
     let fresh = fresh_id();
-    assert_eq!(kept.call(&request_with(&fresh)).await.head.status, 200);
+    assert_eq!(client.call(&request_with(&fresh)).await.head.status, 200);
     assert_refused(&platform, &[&server], &[fresh]).await;
-    assert_eq!(kept.call(&request_with(&ids[0])).await.head.status, 409);
+    assert_eq!(client.call(&request_with(&ids[0])).await.head.status, 409);
     for id in &ids[1..] {
         // the router closes the connection after a 409; the platform's front opens another one
         let answer = call_once(&platform.clients_address(), &request_with(id)).await;
@@ -181,14 +184,14 @@
     let platform = Platform::new(config_text(&[("s-a", &server.address, "DRAINING")], None));
     let old = platform.start().await;
     old.wait_until_ready().await;
-    let mut kept = Client::new(&platform.clients_address()).await;
+    let mut client = Client::new(&platform.clients_address()).await;
     let health = b"GET /_health HTTP/1.1\r\n\r\n";
-    assert_eq!(kept.call(health).await.head.status, 200);
+    assert_eq!(client.call(health).await.head.status, 200);
     let id = fresh_id();
     let text = request_of(&id, "hint", 300, "");
     let new = platform.start().await;
     new.wait_until_ready().await;
-    assert_eq!(kept.call(&text).await.head.status, 503);
+    assert_eq!(client.call(&text).await.head.status, 503);
     for _ in 0..IDS {
         // the other process learns of the release a moment after the client
         timeout(RELEASE_TIMEOUT, async {
@@ -210,20 +213,20 @@
     let platform = Platform::new(config);
     let old = platform.start().await;
     old.wait_until_ready().await;
-    let mut kept = Client::new(&platform.clients_address()).await;
-    let first = kept.call(&request_with(&fresh_id())).await;
+    let mut client = Client::new(&platform.clients_address()).await;
+    let first = client.call(&request_with(&fresh_id())).await;
     assert_eq!(first.head.status, 200);
     let mut new = ScriptedProcess::successor_with(&platform, &json!({"shares_ids": true})).await;
     new.receive("met").await;
     new.send(&"ready".into()).await;
     new.receive("taken").await;
     let id = fresh_id();
-    let asked = Instant::now();
-    assert_eq!(kept.call(&request_with(&id)).await.head.status, 503);
+    let sent_at = Instant::now();
+    assert_eq!(client.call(&request_with(&id)).await.head.status, 503);
     assert!(
-        asked.elapsed() < Duration::from_secs(1),
+        sent_at.elapsed() < Duration::from_secs(1),
         "{:?}",
-        asked.elapsed()
+        sent_at.elapsed()
     );
     assert_eq!(server.requests_under(&id), 0);
     drop(new);
